--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,93 @@
+import js from '@eslint/js';
+import tsdoc from 'eslint-plugin-tsdoc';
+import tseslint from 'typescript-eslint';
+
+/** Folders whose modules are pure: no I/O, timers, wall clock or global randomness. */
+const PURE_FOLDERS = [
+  'core',
+  'charts',
+  'preset',
+  'health',
+  'routing',
+  'probing',
+  'limits',
+  'retries',
+  'recovery',
+  'membership',
+  'engine',
+  'timeline',
+];
+
+export default tseslint.config(
+  {ignores: ['dist/**', 'node_modules/**', '**/generated/**']},
+  js.configs.recommended,
+  ...tseslint.configs.strict,
+  {
+    files: ['**/*.ts'],
+    plugins: {tsdoc},
+    rules: {
+      'tsdoc/syntax': 'error',
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: 'ExportDefaultDeclaration',
+          message: 'Use named exports.',
+        },
+      ],
+      eqeqeq: 'error',
+      'prefer-const': 'error',
+      '@typescript-eslint/naming-convention': [
+        'error',
+        {selector: 'typeLike', format: ['PascalCase']},
+        {
+          selector: 'variable',
+          format: ['camelCase', 'UPPER_CASE', 'PascalCase'],
+        },
+        {selector: 'function', format: ['camelCase', 'PascalCase']},
+      ],
+      '@typescript-eslint/explicit-module-boundary-types': 'error',
+      '@typescript-eslint/no-extraneous-class': 'off',
+      '@typescript-eslint/restrict-template-expressions': 'off',
+    },
+  },
+  {
+    files: PURE_FOLDERS.map(folder => `src/${folder}/**/*.ts`),
+    ignores: ['**/*_test.ts', 'src/core/system_clock.ts'],
+    rules: {
+      'no-restricted-globals': [
+        'error',
+        'setTimeout',
+        'setInterval',
+        'setImmediate',
+        'performance',
+        'process',
+        'fetch',
+      ],
+      'no-restricted-properties': [
+        'error',
+        {object: 'Date', property: 'now'},
+        {object: 'Math', property: 'random'},
+      ],
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            'inversify',
+            'node:net',
+            'node:http',
+            'node:dgram',
+            'node:child_process',
+            'node:timers*',
+          ],
+        },
+      ],
+    },
+  },
+  {
+    files: ['**/*_test.ts'],
+    rules: {
+      '@typescript-eslint/no-non-null-assertion': 'off',
+      '@typescript-eslint/no-floating-promises': 'off',
+    },
+  },
+);
--- /dev/null
+++ b/scripts/copy_assets.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Copies files that tsc does not emit (protocol definitions) into dist.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+while IFS= read -r file; do
+  mkdir -p "dist/$(dirname "$file")"
+  cp "$file" "dist/$file"
+done < <(find src -name '*.proto')
--- /dev/null
+++ b/src/engine/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Contracts of the `engine` module.
+ *
+ * @packageDocumentation
+ */
+export * from './types.js';
--- /dev/null
+++ b/src/membership/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Contracts of the `membership` module.
+ *
+ * @packageDocumentation
+ */
+export * from './types.js';
--- /dev/null
+++ b/src/membership/types.ts
@@ -0,0 +1,98 @@
+/**
+ * Contract of membership and gossip. All methods are pure: the gRPC adapter
+ * moves the messages.
+ *
+ * @packageDocumentation
+ */
+import type {InstantMs, RandomSource} from '../core/index.js';
+
+/** One incarnation of a VM: `vmId` plus a random `bootId`. */
+export interface Incarnation {
+  readonly vmId: string;
+  readonly bootId: string;
+  /** Address of the peer port. */
+  readonly host: string;
+  readonly port: number;
+}
+
+/** A fact that one VM published about itself or its observations. */
+export interface Fact {
+  /** `vmId/bootId` of the owner. */
+  readonly ownerId: string;
+  readonly key: string;
+  /** JSON text; an empty string deletes the fact. */
+  readonly value: string;
+  /** Rises with each publication of the owner. */
+  readonly sequence: number;
+}
+
+/** Greatest sequence known of each owner. */
+export type Digest = ReadonlyMap<string, number>;
+
+/** Lifecycle of a member as seen by this VM. */
+export type MemberState = 'starting' | 'ready' | 'leaving' | 'suspect' | 'dead';
+
+/** One member as seen by this VM. */
+export interface Member {
+  readonly incarnation: Incarnation;
+  readonly state: MemberState;
+  /** Local instant of the last sign of life. */
+  readonly lastHeardMs: InstantMs;
+}
+
+/** A change of the view, for other modules and the time line. */
+export interface MembershipChange {
+  readonly vmId: string;
+  readonly bootId: string;
+  readonly from: MemberState | undefined;
+  readonly to: MemberState;
+  /** False when the VM announced that it leaves. */
+  readonly planned: boolean;
+}
+
+/** Membership and facts of one VM. */
+export abstract class Membership {
+  /** This VM's incarnation. */
+  abstract readonly self: Incarnation;
+
+  /** Publishes or replaces a fact of this VM. */
+  abstract publish(key: string, value: string): void;
+
+  /** Facts with this key, or with this key prefix, of all live owners. */
+  abstract factsByPrefix(prefix: string): readonly Fact[];
+
+  /** Sets this VM's own lifecycle state. */
+  abstract setOwnState(state: 'starting' | 'ready' | 'leaving'): void;
+
+  /** Adds addresses to contact (seeds, VM list). */
+  abstract addContacts(
+    contacts: readonly {readonly host: string; readonly port: number}[],
+  ): void;
+
+  /** Address of the peer for the next exchange; undefined if none is known. */
+  abstract nextPeer(
+    random: RandomSource,
+    nowMs: InstantMs,
+  ): {readonly host: string; readonly port: number} | undefined;
+
+  /** Digest of all facts. */
+  abstract digest(): Digest;
+
+  /** Facts that the owner of the digest lacks, oldest first, bounded. */
+  abstract deltaFor(digest: Digest): readonly Fact[];
+
+  /** Takes in facts; returns those that were new. */
+  abstract merge(facts: readonly Fact[], nowMs: InstantMs): readonly Fact[];
+
+  /** Raises the own heartbeat and advances the failure detector. */
+  abstract tick(nowMs: InstantMs): readonly MembershipChange[];
+
+  /** Restarts the failure detector's timers after a pause of this VM. */
+  abstract onPause(nowMs: InstantMs): void;
+
+  /** All members, this VM included. */
+  abstract members(): readonly Member[];
+
+  /** VM ids in state ready, this VM included when it is ready; sorted. */
+  abstract readyVmIds(): readonly string[];
+}
--- /dev/null
+++ b/src/preset/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Contracts of the `preset` module.
+ *
+ * @packageDocumentation
+ */
+export * from './types.js';
--- /dev/null
+++ b/src/probing/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Contracts of the `probing` module.
+ *
+ * @packageDocumentation
+ */
+export * from './types.js';
--- /dev/null
+++ b/src/recovery/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Contracts of the `recovery` module.
+ *
+ * @packageDocumentation
+ */
+export * from './types.js';
--- /dev/null
+++ b/src/routing/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Contracts of the `routing` module.
+ *
+ * @packageDocumentation
+ */
+export * from './types.js';
--- /dev/null
+++ b/src/timeline/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Contracts of the `timeline` module.
+ *
+ * @packageDocumentation
+ */
+export * from './types.js';
