Add attempt lifecycle, retry decision, queue and admission

Change: attempt chart with a verdict per state, attempt lifecycle that never returns to not-run after a byte left, token bucket of retries, retry decision, waiting queue with a starvation bound, service-time estimate per kind with bounded steps, admission by deadline and worth, connection share. Conclusion: the engine can be built on these modules.

--- /dev/null
+++ b/src/limits/index.ts
@@ -0,0 +1,13 @@
+/**
+ * Limits on what one VM sends: queue, admission, connections.
+ *
+ * @packageDocumentation
+ */
+export {canFinish, chooseRejected, type AdmissionOptions} from './admission.js';
+export {connectionShare} from './connection_share.js';
+export {
+  RequestQueue,
+  STARVATION_INTERVAL,
+  type QueuedRequest,
+} from './request_queue.js';
+export {ServiceTimeEstimator} from './service_time.js';
--- /dev/null
+++ b/src/limits/limits_test.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {
+  chooseRejected,
+  connectionShare,
+  type QueuedRequest,
+  RequestQueue,
+  ServiceTimeEstimator,
+  STARVATION_INTERVAL,
+} from './index.js';
+
+const queued: fc.Arbitrary<QueuedRequest> = fc.record({
+  urgent: fc.boolean(),
+  worth: fc.integer({min: 0, max: 5}),
+  deadlineMs: fc.integer({min: 1, max: 1000}),
+  queuedMs: fc.constant(0),
+  estimatedMs: fc.integer({min: 0, max: 100}),
+});
+
+test('queue order is urgent, worth, deadline, arrival', () => {
+  // Guards against short urgent requests that wait behind others.
+  fc.assert(
+    fc.property(fc.array(queued), items => {
+      const queue = new RequestQueue<QueuedRequest>();
+      items.forEach(item => queue.add(item));
+      const expected = [...items].sort(
+        (a, b) =>
+          Number(b.urgent) - Number(a.urgent) ||
+          b.worth - a.worth ||
+          a.deadlineMs - b.deadlineMs,
+      );
+      const taken = expected.map(() => {
+        const next = queue.select(0)!;
+        queue.take(next, 0);
+        return next;
+      });
+      assert.deepEqual(taken, expected);
+      assert.equal(queue.size, 0);
+    }),
+    {seed: 21},
+  );
+});
+
+test('one of eight dispatches serves a starving request', () => {
+  // Guards against requests of low worth that never leave the queue.
+  fc.assert(
+    fc.property(
+      fc.array(queued, {minLength: 1, maxLength: 60}),
+      fc.integer({min: 0, max: 600}),
+      (items, nowMs) => {
+        const queue = new RequestQueue<QueuedRequest>();
+        items.forEach(item => queue.add(item));
+        const starves = (item: QueuedRequest) => nowMs > item.deadlineMs / 2;
+        let withoutStarving = 0;
+        while (queue.size > 0) {
+          const anyStarves = queue.waiting.some(starves);
+          const next = queue.select(nowMs)!;
+          queue.take(next, nowMs);
+          withoutStarving =
+            anyStarves && !starves(next) ? withoutStarving + 1 : 0;
+          assert.ok(withoutStarving < STARVATION_INTERVAL);
+        }
+      },
+    ),
+    {seed: 22, numRuns: 300},
+  );
+});
+
+test('admission keeps the capacity, deadlines and the greatest worth', () => {
+  // Guards against a full queue whose every request times out.
+  fc.assert(
+    fc.property(
+      fc.array(queued, {maxLength: 40}),
+      fc.integer({min: 1, max: 6}),
+      fc.integer({min: 1, max: 30}),
+      (items, concurrency, capacity) => {
+        const queue = new RequestQueue<QueuedRequest>();
+        items.forEach(item => queue.add(item));
+        const options = {nowMs: 0, concurrency, capacity, byDeadline: true};
+        const rejected = new Set(chooseRejected(queue.waiting, options));
+        const kept = queue.waiting.filter(item => !rejected.has(item));
+        assert.ok(kept.length <= capacity);
+        let aheadMs = 0;
+        for (const item of kept) {
+          const startMs = (aheadMs + item.estimatedMs / 2) / concurrency;
+          assert.ok(startMs + item.estimatedMs <= item.deadlineMs);
+          aheadMs += item.estimatedMs;
+        }
+        const byCapacity = chooseRejected(queue.waiting, {
+          ...options,
+          byDeadline: false,
+        });
+        const lowestKept = Math.min(
+          ...items.filter(i => !byCapacity.includes(i)).map(i => i.worth),
+        );
+        assert.ok(byCapacity.every(item => item.worth <= lowestKept));
+      },
+    ),
+    {seed: 23, numRuns: 300},
+  );
+});
+
+test('a few long requests hardly move the median', () => {
+  // Guards against one long placement that makes admission reject the rest.
+  const estimator = new ServiceTimeEstimator();
+  for (let index = 0; index < 400; index += 1) {
+    estimator.observe(index % 20 === 0 ? 500 : 10, index);
+  }
+  assert.ok(estimator.medianMs(400) > 7 && estimator.medianMs(400) < 13);
+  assert.ok(estimator.p99Ms > 100);
+});
+
+test('the estimate follows a lasting change and decays unobserved', () => {
+  // Guards against an estimate that rejects everything and never recovers.
+  const estimator = new ServiceTimeEstimator();
+  assert.equal(estimator.medianMs(0), 0);
+  for (let index = 0; index < 100; index += 1) {
+    estimator.observe(10, 0);
+  }
+  for (let index = 0; index < 100; index += 1) {
+    estimator.observeUnfinished(100, 0);
+    estimator.observeUnfinished(1, 0);
+  }
+  const raisedMs = estimator.medianMs(0);
+  assert.ok(raisedMs > 80 && raisedMs < 120);
+  assert.ok(estimator.medianMs(10_000) < 1);
+});
+
+test('connections of all VMs stay within the limit of a target', () => {
+  // Guards against a partitioned fleet that exhausts a target.
+  assert.equal(connectionShare(280, 30), 9);
+  assert.equal(connectionShare(350, 30), 11);
+  assert.equal(connectionShare(3, 30), 1);
+});
--- /dev/null
+++ b/src/retries/index.ts
@@ -0,0 +1,21 @@
+/**
+ * Attempts at targets, their verdicts, and retries.
+ *
+ * @packageDocumentation
+ */
+export {Attempt} from './attempt.js';
+export {
+  attemptChart,
+  isFinalState,
+  verdictOfState,
+  type AttemptEvent,
+  type AttemptState,
+} from './attempt_chart.js';
+export {RetryBudget} from './retry_budget.js';
+export {
+  decideRetry,
+  MAX_ATTEMPTS,
+  type RetryDecision,
+  type RetryQuestion,
+  type RetryRefusal,
+} from './retry_decision.js';
--- /dev/null
+++ b/src/retries/retries_test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {ChartError} from '../charts/index.js';
+import type {Verdict} from '../core/index.js';
+import {Attempt, decideRetry, MAX_ATTEMPTS, RetryBudget} from './index.js';
+
+const steps: Readonly<Record<string, (attempt: Attempt) => void>> = {
+  sent: attempt => attempt.markSent(5),
+  complete: attempt => attempt.complete(),
+  refuse: attempt => attempt.refuse(),
+  failConnection: attempt => attempt.failConnection(),
+  lose: attempt => attempt.lose(),
+  cancelUnsent: attempt => attempt.cancel({bytesSent: false}),
+  cancelSent: attempt => attempt.cancel({bytesSent: true}),
+};
+
+test('after sent, only a refusal gives the verdict not-run', () => {
+  // Guards against a caller that is told `not-run` although it ran (I3).
+  fc.assert(
+    fc.property(
+      fc.array(fc.constantFrom(...Object.keys(steps)), {maxLength: 6}),
+      names => {
+        const attempt = new Attempt({token: 'a', targetId: 't'});
+        attempt.connect();
+        const applied = names.filter(name => {
+          try {
+            steps[name]?.(attempt);
+            return true;
+          } catch (error) {
+            assert.ok(error instanceof ChartError);
+            return false;
+          }
+        });
+        const bytesLeft = applied.some(
+          name => name !== 'failConnection' && name !== 'cancelUnsent',
+        );
+        const refused = applied.includes('refuse');
+        assert.equal(attempt.verdict === 'not-run', !bytesLeft || refused);
+      },
+    ),
+    {seed: 11, numRuns: 500},
+  );
+});
+
+test('a finished attempt accepts no event', () => {
+  // Guards against a late signal that changes a verdict already given.
+  const attempt = new Attempt({token: 'a', targetId: 't'});
+  attempt.connect();
+  attempt.failConnection();
+  assert.equal(attempt.isFinished, true);
+  for (const step of Object.values(steps)) {
+    assert.throws(() => step(attempt), ChartError);
+  }
+});
+
+test('retries stay within the share plus the fixed minimum', () => {
+  // Guards against retries that multiply the load of failing targets.
+  fc.assert(
+    fc.property(
+      fc.array(fc.record({first: fc.boolean(), stepMs: fc.nat(50)})),
+      fc.double({min: 0.01, max: 1, noNaN: true}),
+      (inputs, share) => {
+        const budget = new RetryBudget({share, startMs: 0});
+        let nowMs = 0;
+        let firsts = 0;
+        let retries = 0;
+        for (const input of inputs) {
+          nowMs += input.stepMs;
+          if (input.first) {
+            firsts += 1;
+            budget.onFirstAttempt();
+          } else if (budget.tryTake(nowMs)) {
+            retries += 1;
+          }
+        }
+        assert.ok(retries <= 10 + share * firsts + nowMs / 1000 + 1e-6);
+      },
+    ),
+    {seed: 12},
+  );
+});
+
+test('a share of zero switches retries off', () => {
+  // Guards against a preset that forbids retries and gets some anyway.
+  const budget = new RetryBudget({share: 0, startMs: 0});
+  assert.equal(budget.tryTake(0), false);
+});
+
+test('retries follow idempotence, deadline and implication', () => {
+  // Guards against a second run of a non-idempotent request (I4).
+  const verdict = fc.constantFrom<Verdict>('not-run', 'ran', 'may-have-run');
+  fc.assert(
+    fc.property(
+      fc.record({
+        idempotent: fc.boolean(),
+        verdicts: fc.array(verdict, {minLength: 1, maxLength: 5}),
+        responseStarted: fc.boolean(),
+        implicated: fc.boolean(),
+        deadlineMs: fc.nat(10),
+        nowMs: fc.nat(10),
+      }),
+      question => {
+        const allowed =
+          !question.responseStarted &&
+          !question.implicated &&
+          question.nowMs < question.deadlineMs &&
+          question.verdicts.length < MAX_ATTEMPTS &&
+          (question.idempotent ||
+            question.verdicts.every(value => value === 'not-run'));
+        assert.equal(decideRetry(question).type === 'retry', allowed);
+      },
+    ),
+    {seed: 13, numRuns: 500},
+  );
+});
