--- /dev/null
+++ b/src/probing/budgeted_probe_scheduler_test.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {SeededRandom} from '../core/index.js';
+import {BudgetedProbeScheduler, type ProbeCandidate} from './index.js';
+
+const WINDOW_MS = 10_000;
+const NO_REPORTS: readonly ProbeCandidate[] = [
+  {targetId: 't-1', reportMeasuredMs: undefined},
+  {targetId: 't-2', reportMeasuredMs: undefined},
+  {targetId: 't-3', reportMeasuredMs: undefined},
+];
+
+/** Greatest number of instants in a half-open window of 10 s. */
+function peakWindow(instantsMs: readonly number[], fromMs = 0): number {
+  const sorted = instantsMs.filter(at => at >= fromMs).sort((a, b) => a - b);
+  let first = 0;
+  let peak = 0;
+  sorted.forEach((atMs, index) => {
+    while (atMs - sorted[first]! >= WINDOW_MS) {
+      first += 1;
+    }
+    peak = Math.max(peak, index - first + 1);
+  });
+  return peak;
+}
+
+interface Fleet {
+  readonly vmCeiling: number;
+  readonly budgets: readonly [number, number];
+  readonly seed: number;
+}
+
+/** Runs vmCeiling places of VMs, each with replacements, jitter and pauses. */
+function runFleet({vmCeiling, budgets, seed}: Fleet): readonly number[] {
+  const random = new SeededRandom({seed});
+  const probesMs: number[] = [];
+  for (let place = 0; place < vmCeiling; place += 1) {
+    let nowMs = random.nextFloat() * 5_000;
+    while (nowMs < 40_000) {
+      const endMs = nowMs + 500 + random.nextFloat() * 20_000;
+      const vm = new BudgetedProbeScheduler({
+        vmId: `e-${place}`,
+        startMs: nowMs,
+      });
+      while (nowMs < endMs) {
+        vm.setBudget(budgets[nowMs < 20_000 ? 0 : 1], vmCeiling);
+        if (vm.next(NO_REPORTS, nowMs) !== undefined) {
+          probesMs.push(nowMs);
+        }
+        const paused = random.nextFloat() < 0.002;
+        nowMs += paused ? random.nextFloat() * 6_000 : 5 + random.nextInt(20);
+      }
+    }
+  }
+  return probesMs;
+}
+
+test('the fleet stays within the budget in every window of 10 s', () => {
+  // Guards against probes beyond the budget (I1) at replacements, late ticks,
+  // pauses and budget changes.
+  const budget = fc.double({min: 0, max: 60, noNaN: true});
+  fc.assert(
+    fc.property(
+      fc.integer({min: 1, max: 12}),
+      fc.tuple(budget, budget),
+      fc.integer(),
+      (vmCeiling, budgets, seed) => {
+        const probesMs = runFleet({vmCeiling, budgets, seed});
+        assert.ok(peakWindow(probesMs) <= 10 * Math.max(...budgets));
+        assert.ok(peakWindow(probesMs, 20_000) <= 10 * budgets[1]);
+      },
+    ),
+    {seed: 21, numRuns: 60},
+  );
+});
+
+test('probes at exactly due instants stay within the budget', () => {
+  // Guards against one probe too many by rounding, for each k up to 700.
+  for (let perWindow = 1; perWindow <= 700; perWindow += 1) {
+    const vm = new BudgetedProbeScheduler({vmId: 'e-1', startMs: 0.1});
+    vm.setBudget(perWindow / 10 + 1e-9, 1);
+    const probesMs: number[] = [];
+    let nowMs = 0.1;
+    while (nowMs < 25_000) {
+      nowMs += WINDOW_MS / perWindow;
+      while (vm.next(NO_REPORTS, nowMs) === undefined) {
+        nowMs += 1e-12 * nowMs;
+      }
+      probesMs.push(nowMs);
+    }
+    assert.ok(peakWindow(probesMs) <= perWindow, `k = ${perWindow}`);
+    assert.ok(probesMs.length >= 2 * perWindow);
+  }
+});
+
+test('the budget is used, and a pause is not made up for', () => {
+  // Guards against a burst after a pause and against a scheduler that idles.
+  const vm = new BudgetedProbeScheduler({vmId: 'e-1', startMs: 0});
+  vm.setBudget(20, 1);
+  let sent = 0;
+  for (let nowMs = 0; nowMs <= 10_000; nowMs += 10) {
+    sent += vm.next(NO_REPORTS, nowMs) === undefined ? 0 : 1;
+  }
+  // An interval of 50 ms, plus the rounding margin, ends at a tick of 60 ms.
+  assert.equal(sent, Math.floor(10_000 / 60));
+  assert.notEqual(vm.next(NO_REPORTS, 60_000), undefined);
+  assert.equal(vm.next(NO_REPORTS, 60_010), undefined);
+});
+
+test('a target that never answers does not take all probes', () => {
+  // Guards against an unreachable target that is always the oldest.
+  const vm = new BudgetedProbeScheduler({vmId: 'e-1', startMs: 0});
+  vm.setBudget(10, 1);
+  const probed = [1_000, 2_000, 3_000].map(nowMs => vm.next(NO_REPORTS, nowMs));
+  assert.deepEqual(new Set(probed), new Set(['t-1', 't-2', 't-3']));
+});
+
+test('each target is probed by its responsible VMs first', () => {
+  // Guards against targets that no VM probes, and against all VMs probing one.
+  const vmIds = Array.from({length: 24}, (_, index) => `e-${index}`);
+  const candidates = Array.from({length: 20}, (_, index) => ({
+    targetId: `t-${index}`,
+    reportMeasuredMs: undefined,
+  }));
+  const probed = new Set<string>();
+  for (const vmId of vmIds) {
+    const vm = new BudgetedProbeScheduler({vmId, startMs: 0});
+    vm.setLiveVms(vmIds);
+    vm.setBudget(240, 24);
+    for (let nowMs = 200; nowMs <= 2_000; nowMs += 200) {
+      probed.add(vm.next(candidates, nowMs) ?? '');
+    }
+  }
+  assert.equal(probed.size, 20);
+});
--- a/src/probing/index.ts
+++ b/src/probing/index.ts
@@ -1,6 +1,10 @@
 /**
- * Contracts of the `probing` module.
+ * Probing of targets within a budget.
  *
  * @packageDocumentation
  */
+export {
+  BudgetedProbeScheduler,
+  type BudgetedProbeSchedulerOptions,
+} from './budgeted_probe_scheduler.js';
 export * from './types.js';
