--- /dev/null
+++ b/src/routing/target_load.ts
@@ -0,0 +1,189 @@
+/**
+ * Load estimate of one target.
+ *
+ * @packageDocumentation
+ */
+import type {InstantMs} from '../core/index.js';
+import {DecayingSum, decay} from './decaying_sum.js';
+
+/**
+ * Age from which a report counts as absent, in milliseconds. Without this
+ * bound a service whose last reports all said "full" would look full until the
+ * next report.
+ */
+const REPORT_EXPIRY_MS = 2_000;
+
+/**
+ * Half-life of the penalties, in milliseconds: longer than a short overload,
+ * shorter than the first ejection.
+ */
+const PENALTY_HALF_LIFE_MS = 500;
+
+/** Age of a peer's count when it arrives by gossip, in milliseconds. */
+const GOSSIP_LAG_MS = 250;
+
+/** Parameters of the estimate, varied by the benchmark. */
+export interface EstimateTuning {
+  /** Age at which a report has half its weight, in milliseconds. */
+  readonly halfLifeMs: number;
+  /** Whether the in-flight counts of peers are used. */
+  readonly usePeerLoad: boolean;
+}
+
+/** Load that others cause at a target, known at one instant. */
+interface OtherLoad {
+  readonly inFlight: number;
+  /** Weight against the mean, from 0 (old) to 1 (new). */
+  readonly weight: number;
+}
+
+/** A change of the own in-flight count. */
+interface OwnChange {
+  readonly atMs: InstantMs;
+  readonly delta: number;
+}
+
+/** Newest report of a target. */
+interface KnownReport {
+  readonly inFlight: number;
+  readonly measuredMs: InstantMs;
+}
+
+/**
+ * Own in-flight count, newest report, peers' counts and penalties of a target.
+ *
+ * The own count is always exact. Only the remainder of a report, the load that
+ * others cause, grows old; it decays towards the mean over the service.
+ *
+ * @internal
+ */
+export class TargetLoad {
+  /** Own attempts in flight. */
+  ownInFlight = 0;
+  /** Requests by which recent refusals raise the estimate. */
+  readonly refusals = new DecayingSum(PENALTY_HALF_LIFE_MS);
+  /** Requests by which recent failures raise the score, not the estimate. */
+  readonly failures = new DecayingSum(PENALTY_HALF_LIFE_MS);
+  private changes: OwnChange[] = [];
+  private report: KnownReport | undefined;
+  /** Own count at the instant of the report. */
+  private ownAtReport = 0;
+  private readonly peers = new Map<string, KnownReport>();
+
+  /** Instant of the newest report; undefined if there is none. */
+  get reportMeasuredMs(): InstantMs | undefined {
+    return this.report?.measuredMs;
+  }
+
+  /**
+   * Changes the own in-flight count.
+   *
+   * @param delta - 1 for an attempt sent, -1 for one that ended
+   * @param nowMs - current instant in milliseconds
+   */
+  changeOwn(delta: 1 | -1, nowMs: InstantMs): void {
+    this.ownInFlight += delta;
+    this.changes.push({atMs: nowMs, delta});
+    if (this.report?.measuredMs === nowMs) {
+      this.ownAtReport = this.ownInFlight;
+    }
+    const oldest = this.changes[0];
+    if (oldest !== undefined && nowMs - oldest.atMs > 2 * REPORT_EXPIRY_MS) {
+      this.dropChangesBefore(nowMs - REPORT_EXPIRY_MS);
+    }
+  }
+
+  /**
+   * Takes in a report unless a newer one is known.
+   *
+   * @param inFlight - requests running at or queued in the target
+   * @param measuredMs - instant of the measurement
+   */
+  onReport(inFlight: number, measuredMs: InstantMs): void {
+    if (this.report !== undefined && measuredMs < this.report.measuredMs) {
+      return;
+    }
+    this.report = {inFlight, measuredMs};
+    this.dropChangesBefore(measuredMs);
+    const since = this.changes.reduce((sum, change) => sum + change.delta, 0);
+    this.ownAtReport = this.ownInFlight - since;
+  }
+
+  /**
+   * Takes in the count of a peer.
+   *
+   * @param vmId - peer
+   * @param inFlight - its attempts in flight at the target
+   * @param nowMs - current instant in milliseconds
+   */
+  onPeer(vmId: string, inFlight: number, nowMs: InstantMs): void {
+    const measuredMs = nowMs - GOSSIP_LAG_MS;
+    this.peers.set(vmId, {inFlight, measuredMs});
+    for (const [peerId, peer] of this.peers) {
+      if (nowMs - peer.measuredMs > REPORT_EXPIRY_MS) {
+        this.peers.delete(peerId);
+      }
+    }
+  }
+
+  /**
+   * Computes the load that others cause, without the decay.
+   *
+   * @param nowMs - current instant in milliseconds
+   * @param tuning - parameters of the estimate
+   * @returns load and weight; undefined if no report is new enough
+   */
+  others(nowMs: InstantMs, tuning: EstimateTuning): OtherLoad | undefined {
+    const known = this.newest(nowMs, tuning.usePeerLoad);
+    if (known === undefined) {
+      return undefined;
+    }
+    const ageMs = Math.max(nowMs - known.measuredMs, 0);
+    if (ageMs > REPORT_EXPIRY_MS) {
+      return undefined;
+    }
+    return {
+      inFlight: known.inFlight,
+      weight: decay(ageMs, tuning.halfLifeMs),
+    };
+  }
+
+  /** Load of others by the report or by the peers, whichever is newer. */
+  private newest(
+    nowMs: InstantMs,
+    usePeerLoad: boolean,
+  ): KnownReport | undefined {
+    const peers = usePeerLoad ? this.peerSum(nowMs) : undefined;
+    if (this.report === undefined) {
+      return peers;
+    }
+    if (peers !== undefined && peers.measuredMs > this.report.measuredMs) {
+      return peers;
+    }
+    return {
+      inFlight: Math.max(this.report.inFlight - this.ownAtReport, 0),
+      measuredMs: this.report.measuredMs,
+    };
+  }
+
+  /** Sum of the peers' counts at their mean instant. */
+  private peerSum(nowMs: InstantMs): KnownReport | undefined {
+    let inFlight = 0;
+    let sumMs = 0;
+    let count = 0;
+    for (const peer of this.peers.values()) {
+      if (nowMs - peer.measuredMs <= REPORT_EXPIRY_MS) {
+        inFlight += peer.inFlight;
+        sumMs += peer.measuredMs;
+        count += 1;
+      }
+    }
+    return count === 0 ? undefined : {inFlight, measuredMs: sumMs / count};
+  }
+
+  /** Drops changes at or before an instant. */
+  private dropChangesBefore(atMs: InstantMs): void {
+    const first = this.changes.findIndex(change => change.atMs > atMs);
+    this.changes = first < 0 ? [] : this.changes.slice(first);
+  }
+}
