--- /dev/null
+++ b/src/membership/fact_store.ts
@@ -0,0 +1,334 @@
+/**
+ * Facts of all owners, reconciled by digest and delta (Scuttlebutt).
+ *
+ * @packageDocumentation
+ */
+import type {InstantMs} from '../core/index.js';
+import type {Digest, Fact, OwnerDelta} from './types.js';
+
+/** Limits of a store. */
+export interface FactStoreOptions {
+  readonly selfId: string;
+  /** Facts in one message. */
+  readonly maxFactsPerMessage: number;
+  /** Time for which the facts of a removed owner are refused. */
+  readonly tombstoneMs: number;
+  /** Time for which a deletion is kept as a marker. */
+  readonly markerMs: number;
+  readonly maxOwners: number;
+  readonly maxFactsPerOwner: number;
+}
+
+/** Digest entry of an incarnation that left or was replaced. */
+export const ENDED_SEQUENCE = Number.MAX_SAFE_INTEGER;
+
+/** Error thrown when this VM publishes more facts than the store keeps. */
+export class FactLimitError extends Error {
+  override readonly name = 'FactLimitError';
+}
+
+interface OwnerFacts {
+  /** Ordered by sequence: an updated fact is inserted again at the end. */
+  readonly facts: Map<string, Fact>;
+  knownSequence: number;
+  collectedSequence: number;
+}
+
+interface Tombstone {
+  readonly sequence: number;
+  readonly isFinal: boolean;
+  readonly expiresMs: InstantMs;
+}
+
+interface Marker {
+  readonly fact: Fact;
+  readonly collectMs: InstantMs;
+}
+
+/**
+ * Facts of all owners. A digest entry of n means that the store holds all
+ * facts of the owner up to n that were not replaced by later ones.
+ *
+ * @example
+ * ```ts
+ * const news = store.merge(peer.deltaFor(store.digest()), nowMs);
+ * ```
+ */
+export class FactStore {
+  private readonly owners = new Map<string, OwnerFacts>();
+  private readonly tombstones = new Map<string, Tombstone>();
+  private markers: Marker[] = [];
+  private firstOwnerIndex = 0;
+
+  /** @param options - see {@link FactStoreOptions} */
+  constructor(private readonly options: FactStoreOptions) {
+    this.owners.set(options.selfId, newOwner());
+  }
+
+  /**
+   * Publishes a fact of this VM. An unchanged value is not published again.
+   *
+   * @param key - fact key
+   * @param value - JSON text; empty to delete
+   * @param nowMs - current instant in milliseconds
+   * @throws FactLimitError if the store holds too many facts of this VM
+   */
+  publish(key: string, value: string, nowMs: InstantMs): void {
+    const {selfId, maxFactsPerOwner} = this.options;
+    const own = this.ownerOrNew(selfId);
+    const current = own.facts.get(key);
+    if ((current?.value ?? '') === value) {
+      return;
+    }
+    if (current === undefined && own.facts.size >= maxFactsPerOwner) {
+      throw new FactLimitError(
+        `cannot publish ${key}: ${maxFactsPerOwner} facts are kept already`,
+      );
+    }
+    const sequence = own.knownSequence + 1;
+    this.put(own, {ownerId: selfId, key, value, sequence}, nowMs);
+  }
+
+  /**
+   * Reads one fact.
+   *
+   * @param ownerId - owner
+   * @param key - fact key
+   * @returns the value; undefined if unknown or deleted
+   */
+  valueOf(ownerId: string, key: string): string | undefined {
+    const value = this.owners.get(ownerId)?.facts.get(key)?.value;
+    return value === '' ? undefined : value;
+  }
+
+  /**
+   * Lists the facts of an owner.
+   *
+   * @param ownerId - owner
+   * @returns the facts, oldest first, without deleted ones
+   */
+  factsOf(ownerId: string): readonly Fact[] {
+    const facts = this.owners.get(ownerId)?.facts.values() ?? [];
+    return [...facts].filter(fact => fact.value !== '');
+  }
+
+  /**
+   * Summarises what this store holds. Removed owners are listed as well, so
+   * that peers don't send their facts again.
+   *
+   * @returns greatest sequence held by owner
+   */
+  digest(): Digest {
+    const digest = new Map<string, number>();
+    for (const [ownerId, tombstone] of this.tombstones) {
+      const {isFinal, sequence} = tombstone;
+      digest.set(ownerId, isFinal ? ENDED_SEQUENCE : sequence);
+    }
+    for (const [ownerId, owner] of this.owners) {
+      digest.set(ownerId, owner.knownSequence);
+    }
+    return digest;
+  }
+
+  /**
+   * Collects facts that a peer lacks. The first owner rotates, so that a full
+   * message does not always leave out the same owners.
+   *
+   * @param digest - the peer's digest
+   * @returns at most `maxFactsPerMessage` facts, oldest first for each owner
+   */
+  deltaFor(digest: Digest): readonly OwnerDelta[] {
+    const behind = [...this.owners].filter(
+      ([ownerId, owner]) => owner.knownSequence > (digest.get(ownerId) ?? 0),
+    );
+    const deltas: OwnerDelta[] = [];
+    let room = this.options.maxFactsPerMessage;
+    const first = this.firstOwnerIndex++;
+    for (let i = 0; i < behind.length && room > 0; i++) {
+      const entry = behind[(first + i) % behind.length];
+      if (entry === undefined) {
+        continue;
+      }
+      const [ownerId, owner] = entry;
+      const afterSequence = digest.get(ownerId) ?? 0;
+      const facts = factsAfter(owner, afterSequence, room);
+      room -= facts.length;
+      if (facts.length > 0) {
+        const {collectedSequence} = owner;
+        deltas.push({ownerId, afterSequence, collectedSequence, facts});
+      }
+    }
+    return deltas;
+  }
+
+  /**
+   * Takes in the facts of one owner. Facts that leave a gap are refused, since
+   * the digest would hide the missing ones.
+   *
+   * @param delta - facts of one owner
+   * @param nowMs - current instant in milliseconds
+   * @returns the facts that were new
+   */
+  merge(delta: OwnerDelta, nowMs: InstantMs): readonly Fact[] {
+    const {ownerId, afterSequence, collectedSequence} = delta;
+    if (ownerId === this.options.selfId || !this.passesTombstone(delta)) {
+      return [];
+    }
+    const owner = this.ownerOrNew(ownerId);
+    if (
+      collectedSequence > owner.collectedSequence &&
+      owner.knownSequence > 0 &&
+      owner.knownSequence < collectedSequence
+    ) {
+      // A deletion that this store never saw is gone; start again.
+      this.owners.delete(ownerId);
+      return [];
+    }
+    if (afterSequence > owner.knownSequence) {
+      return [];
+    }
+    const fresh = delta.facts.filter(
+      fact => fact.sequence > owner.knownSequence,
+    );
+    if (!this.hasRoomFor(ownerId, owner, fresh)) {
+      return [];
+    }
+    owner.collectedSequence = Math.max(
+      owner.collectedSequence,
+      collectedSequence,
+    );
+    this.owners.set(ownerId, owner);
+    for (const fact of fresh) {
+      this.put(owner, fact, nowMs);
+    }
+    return fresh;
+  }
+
+  /**
+   * Drops the facts of an owner and refuses them for a bounded time. Newer
+   * facts of an owner that did not leave for good lift the refusal.
+   *
+   * @param ownerId - owner to remove
+   * @param isFinal - true if this incarnation left or was replaced
+   * @param nowMs - current instant in milliseconds
+   */
+  remove(ownerId: string, isFinal: boolean, nowMs: InstantMs): void {
+    const sequence = this.owners.get(ownerId)?.knownSequence ?? 0;
+    const expiresMs = nowMs + this.options.tombstoneMs;
+    this.owners.delete(ownerId);
+    this.tombstones.delete(ownerId);
+    this.tombstones.set(ownerId, {sequence, isFinal, expiresMs});
+    if (this.tombstones.size > this.options.maxOwners) {
+      const [oldest] = this.tombstones.keys();
+      this.tombstones.delete(oldest ?? '');
+    }
+  }
+
+  /**
+   * Tells whether an incarnation left for good.
+   *
+   * @param ownerId - the incarnation
+   * @returns true if its facts are refused whatever their sequence
+   */
+  isEnded(ownerId: string): boolean {
+    return this.tombstones.get(ownerId)?.isFinal ?? false;
+  }
+
+  /**
+   * Drops expired tombstones and deletion markers.
+   *
+   * @param nowMs - current instant in milliseconds
+   */
+  expire(nowMs: InstantMs): void {
+    for (const [ownerId, tombstone] of this.tombstones) {
+      if (tombstone.expiresMs <= nowMs) {
+        this.tombstones.delete(ownerId);
+      }
+    }
+    const due = this.markers.filter(marker => marker.collectMs <= nowMs);
+    if (due.length > 0) {
+      this.markers = this.markers.filter(marker => marker.collectMs > nowMs);
+      due.forEach(marker => this.collect(marker.fact));
+    }
+  }
+
+  /** Number of facts, tombstones and markers held. */
+  size(): number {
+    let size = this.tombstones.size + this.markers.length;
+    for (const owner of this.owners.values()) {
+      size += owner.facts.size;
+    }
+    return size;
+  }
+
+  private ownerOrNew(ownerId: string): OwnerFacts {
+    return this.owners.get(ownerId) ?? newOwner();
+  }
+
+  private passesTombstone(delta: OwnerDelta): boolean {
+    const tombstone = this.tombstones.get(delta.ownerId);
+    if (tombstone === undefined) {
+      return true;
+    }
+    const newest = delta.facts.at(-1)?.sequence ?? 0;
+    if (tombstone.isFinal || newest <= tombstone.sequence) {
+      return false;
+    }
+    this.tombstones.delete(delta.ownerId);
+    return true;
+  }
+
+  private hasRoomFor(
+    ownerId: string,
+    owner: OwnerFacts,
+    fresh: readonly Fact[],
+  ): boolean {
+    const {maxOwners, maxFactsPerOwner} = this.options;
+    if (!this.owners.has(ownerId) && this.owners.size >= maxOwners) {
+      return false;
+    }
+    return owner.facts.size + fresh.length <= 2 * maxFactsPerOwner;
+  }
+
+  private put(owner: OwnerFacts, fact: Fact, nowMs: InstantMs): void {
+    owner.facts.delete(fact.key);
+    owner.facts.set(fact.key, fact);
+    owner.knownSequence = fact.sequence;
+    if (fact.value === '') {
+      const collectMs = nowMs + this.options.markerMs;
+      this.markers.push({fact, collectMs});
+    }
+  }
+
+  private collect(fact: Fact): void {
+    const owner = this.owners.get(fact.ownerId);
+    if (owner?.facts.get(fact.key) === fact) {
+      owner.facts.delete(fact.key);
+      owner.collectedSequence = Math.max(
+        owner.collectedSequence,
+        fact.sequence,
+      );
+    }
+  }
+}
+
+function newOwner(): OwnerFacts {
+  return {facts: new Map(), knownSequence: 0, collectedSequence: 0};
+}
+
+function factsAfter(
+  owner: OwnerFacts,
+  afterSequence: number,
+  limit: number,
+): readonly Fact[] {
+  const facts: Fact[] = [];
+  for (const fact of owner.facts.values()) {
+    if (facts.length === limit) {
+      break;
+    }
+    if (fact.sequence > afterSequence) {
+      facts.push(fact);
+    }
+  }
+  return facts;
+}
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -26,6 +26,20 @@
   readonly sequence: number;
 }
 
+/**
+ * Facts of one owner as sent to a peer: all facts after `afterSequence` that
+ * were not replaced by later ones, up to the last one listed.
+ */
+export interface OwnerDelta {
+  readonly ownerId: string;
+  /** Entry of the peer's digest; the peer ignores facts that leave a gap. */
+  readonly afterSequence: number;
+  /** Deletions up to this sequence may be missing. */
+  readonly collectedSequence: number;
+  /** Ascending by sequence. */
+  readonly facts: readonly Fact[];
+}
+
 /** Greatest sequence known of each owner. */
 export type Digest = ReadonlyMap<string, number>;
 
@@ -46,7 +60,7 @@
   readonly bootId: string;
   readonly from: MemberState | undefined;
   readonly to: MemberState;
-  /** False when the VM announced that it leaves. */
+  /** True when the VM announced that it leaves. */
   readonly planned: boolean;
 }
 
@@ -79,10 +93,13 @@
   abstract digest(): Digest;
 
   /** Facts that the owner of the digest lacks, oldest first, bounded. */
-  abstract deltaFor(digest: Digest): readonly Fact[];
+  abstract deltaFor(digest: Digest): readonly OwnerDelta[];
 
   /** Takes in facts; returns those that were new. */
-  abstract merge(facts: readonly Fact[], nowMs: InstantMs): readonly Fact[];
+  abstract merge(
+    deltas: readonly OwnerDelta[],
+    nowMs: InstantMs,
+  ): readonly Fact[];
 
   /** Raises the own heartbeat and advances the failure detector. */
   abstract tick(nowMs: InstantMs): readonly MembershipChange[];
