Add the request engine

Cause: the daemon needs the life of a request as a pure core. Change: RequestEngine with arrival, queue, dispatch, attempts, retries, claims, crash implication, expiry, pause detection, probes, facts to and from peers, status. Contracts: CrashQuarantine gains onAnswered, because a complete response clears an implication; doc comments of the signals `sent` and `response` state what the adapter must observe.

--- /dev/null
+++ b/src/engine/completion.ts
@@ -0,0 +1,99 @@
+/**
+ * End of a request: answer to the caller and settlement of its claim.
+ *
+ * @packageDocumentation
+ */
+import type {Verdict} from '../core/index.js';
+import type {ActiveRequest} from './active_request.js';
+import type {EngineContext} from './engine_context.js';
+import {buildRefusal} from './refusal.js';
+import type {Outcome, RefusalReason} from './types.js';
+
+/**
+ * Answers each caller at most once and settles each claim once.
+ *
+ * @internal
+ */
+export class Completion {
+  constructor(private readonly context: EngineContext) {}
+
+  /** Answers the caller unless it was answered or has gone. */
+  respond(request: ActiveRequest, outcome: Outcome): void {
+    if (request.isClosedToCaller) {
+      this.closeIfDone(request);
+      return;
+    }
+    request.isClosedToCaller = true;
+    // The home VM learns the verdict before the caller can send a copy.
+    this.settleIfDue(request);
+    const requestId = request.caller.requestId;
+    this.context.emit({type: 'respond', requestId, outcome});
+    this.closeIfDone(request);
+  }
+
+  /** Answers the caller with a refusal; the verdict is that of the request. */
+  refuse(
+    request: ActiveRequest,
+    reason: RefusalReason,
+    verdict: Verdict = verdictForCaller(request),
+  ): void {
+    this.respond(
+      request,
+      buildRefusal(reason, verdict, request.isUnverifiedCopy),
+    );
+  }
+
+  /** Notes that the caller can no longer be answered. */
+  abandon(request: ActiveRequest): void {
+    request.isClosedToCaller = true;
+    this.closeIfDone(request);
+  }
+
+  /** Forgets a request once nothing of it is open. */
+  closeIfDone(request: ActiveRequest): void {
+    this.settleIfDue(request);
+    const isOpen =
+      !request.isClosedToCaller ||
+      request.attempt !== undefined ||
+      request.claim?.state === 'pending';
+    if (isOpen) {
+      return;
+    }
+    this.context.deadlines.delete(request);
+    this.context.requests.delete(request.caller.requestId);
+  }
+
+  private settleIfDue(request: ActiveRequest): void {
+    const claim = request.claim;
+    const key = request.caller.idempotencyKey;
+    if (claim === undefined || key === undefined) {
+      return;
+    }
+    const needsSettlement =
+      claim.state === 'granted' || claim.state === 'unknown';
+    const isFinished =
+      request.isClosedToCaller && request.attempt === undefined;
+    if (!needsSettlement || !isFinished) {
+      return;
+    }
+    claim.state = 'settled';
+    this.context.emit({
+      type: 'settle',
+      homeVmId: claim.homeVmId,
+      settlement: {
+        key,
+        claimantId: this.context.options.incarnationId,
+        token: claim.token,
+        verdict: request.verdict,
+      },
+    });
+  }
+}
+
+/** A copy that was not verified may have run even if this one did not. */
+function verdictForCaller(request: ActiveRequest): Verdict {
+  const verdict = request.verdict;
+  return verdict === 'not-run' && request.isUnverifiedCopy
+    ? 'may-have-run'
+    : verdict;
+}
--- /dev/null
+++ b/src/engine/deadline_wheel.ts
@@ -0,0 +1,77 @@
+/**
+ * Items ordered by an instant at which they need attention.
+ *
+ * @packageDocumentation
+ */
+import type {InstantMs} from '../core/index.js';
+
+/** Width of a bucket, equal to the distance between two ticks. */
+const BUCKET_MS = 10;
+
+/**
+ * Timing wheel with constant cost per item. An item is due at most one bucket
+ * (10 ms) after its instant.
+ *
+ * @internal
+ */
+export class DeadlineWheel<T> {
+  private readonly buckets = new Map<number, Set<T>>();
+  private readonly bucketOf = new Map<T, number>();
+  private nextBucket = 0;
+
+  /** Adds an item, or moves it to another instant. */
+  set(item: T, atMs: InstantMs): void {
+    this.delete(item);
+    const index = Math.max(this.nextBucket, Math.floor(atMs / BUCKET_MS));
+    let bucket = this.buckets.get(index);
+    if (bucket === undefined) {
+      bucket = new Set();
+      this.buckets.set(index, bucket);
+    }
+    bucket.add(item);
+    this.bucketOf.set(item, index);
+  }
+
+  /** Removes an item; no effect if it is absent. */
+  delete(item: T): void {
+    const index = this.bucketOf.get(item);
+    if (index === undefined) {
+      return;
+    }
+    this.bucketOf.delete(item);
+    const bucket = this.buckets.get(index);
+    bucket?.delete(item);
+    if (bucket?.size === 0) {
+      this.buckets.delete(index);
+    }
+  }
+
+  /** Removes and returns all items whose whole bucket has passed. */
+  takeDue(nowMs: InstantMs): readonly T[] {
+    const endBucket = Math.floor(nowMs / BUCKET_MS);
+    const due: T[] = [];
+    for (const index of this.passedBuckets(endBucket)) {
+      for (const item of this.buckets.get(index) ?? []) {
+        this.bucketOf.delete(item);
+        due.push(item);
+      }
+      this.buckets.delete(index);
+    }
+    this.nextBucket = Math.max(this.nextBucket, endBucket);
+    return due;
+  }
+
+  /** Walks the shorter of the passed range and the existing buckets. */
+  private passedBuckets(endBucket: number): readonly number[] {
+    if (endBucket - this.nextBucket > this.buckets.size) {
+      return [...this.buckets.keys()]
+        .filter(index => index < endBucket)
+        .sort((a, b) => a - b);
+    }
+    const passed: number[] = [];
+    for (let index = this.nextBucket; index < endBucket; index += 1) {
+      passed.push(index);
+    }
+    return passed;
+  }
+}
--- /dev/null
+++ b/src/engine/fact_publisher.ts
@@ -0,0 +1,146 @@
+/**
+ * Facts that this VM shares with its peers.
+ *
+ * @packageDocumentation
+ */
+import type {InstantMs} from '../core/index.js';
+import type {TargetStatus} from '../routing/index.js';
+import type {EngineContext} from './engine_context.js';
+import type {KnownTarget, ServiceState} from './service_state.js';
+
+/** Least time between two publications; equals the gossip interval. */
+const PUBLISH_INTERVAL_MS = 250;
+
+/** Value that deletes a fact. */
+const DELETED = '';
+
+/**
+ * Publishes loads, reports, drain signs and implications when they changed,
+ * and records changes of target health as events.
+ *
+ * @internal
+ */
+export class FactPublisher {
+  private publishedMs: InstantMs | undefined;
+  private published = new Map<string, string>();
+  private readonly reportMeasuredMs = new Map<string, InstantMs>();
+  private lastStatuses = new Map<string, TargetStatus>();
+
+  constructor(private readonly context: EngineContext) {}
+
+  /** Publishes what changed, at most every 250 ms. */
+  publishIfDue(nowMs: InstantMs): void {
+    const lastMs = this.publishedMs ?? -Infinity;
+    if (nowMs - lastMs < PUBLISH_INTERVAL_MS) {
+      return;
+    }
+    this.publishedMs = nowMs;
+    const facts = this.collect(nowMs);
+    for (const [key, value] of facts) {
+      if (this.published.get(key) !== value) {
+        this.context.emit({type: 'publish', key, value});
+      }
+    }
+    for (const key of this.published.keys()) {
+      if (!facts.has(key)) {
+        this.context.emit({type: 'publish', key, value: DELETED});
+      }
+    }
+    this.published = facts;
+  }
+
+  private collect(nowMs: InstantMs): Map<string, string> {
+    const facts = new Map<string, string>();
+    const statuses = new Map<string, TargetStatus>();
+    for (const service of this.context.services.values()) {
+      this.collectService(service, statuses, facts, nowMs);
+    }
+    this.lastStatuses = statuses;
+    const {quarantine} = this.context.options;
+    for (const [fingerprint, targets] of quarantine.implications(nowMs)) {
+      facts.set(`quarantine/${fingerprint}`, JSON.stringify(targets));
+    }
+    return facts;
+  }
+
+  private collectService(
+    service: ServiceState,
+    statuses: Map<string, TargetStatus>,
+    facts: Map<string, string>,
+    nowMs: InstantMs,
+  ): void {
+    for (const status of service.pool.statuses(nowMs)) {
+      statuses.set(status.targetId, status);
+      this.recordChange(status);
+    }
+    const load = loadOf(service);
+    if (load !== undefined) {
+      facts.set(`load/${service.name}`, load);
+    }
+    for (const target of service.targets.values()) {
+      this.collectReport(target, facts, nowMs);
+      collectDrain(target, statuses.get(target.targetId), facts);
+    }
+  }
+
+  /** The age is part of the value, so it is computed once for each report. */
+  private collectReport(
+    target: KnownTarget,
+    facts: Map<string, string>,
+    nowMs: InstantMs,
+  ): void {
+    const report = target.probed;
+    if (report === undefined) {
+      return;
+    }
+    const key = `report/${target.targetId}`;
+    const old = this.published.get(key);
+    const isSame = this.reportMeasuredMs.get(key) === report.measuredMs;
+    if (old !== undefined && isSame) {
+      facts.set(key, old);
+      return;
+    }
+    this.reportMeasuredMs.set(key, report.measuredMs);
+    const {inFlight, draining} = report;
+    const ageMs = Math.max(0, Math.round(nowMs - report.measuredMs));
+    facts.set(key, JSON.stringify({inFlight, draining, ageMs}));
+  }
+
+  private recordChange(status: TargetStatus): void {
+    const {targetId, health, draining} = status;
+    const last = this.lastStatuses.get(targetId);
+    if (last !== undefined && last.health !== health) {
+      const details = {targetId, from: last.health, to: health};
+      this.context.event('target', 'target-health', details);
+    }
+    if (draining && last?.draining !== true) {
+      this.context.event('target', 'target-draining', {targetId});
+    }
+  }
+}
+
+/** In-flight attempts per target as JSON; undefined without any. */
+function loadOf(service: ServiceState): string | undefined {
+  const loads: Record<string, number> = {};
+  for (const target of service.targets.values()) {
+    if (target.requests.size > 0) {
+      loads[target.targetId] = target.requests.size;
+    }
+  }
+  return Object.keys(loads).length > 0 ? JSON.stringify(loads) : undefined;
+}
+
+/** A sign ends when a newer VM list has cleared the flag in the pool. */
+function collectDrain(
+  target: KnownTarget,
+  status: TargetStatus | undefined,
+  facts: Map<string, string>,
+): void {
+  if (status?.draining === false) {
+    target.drainSeen = undefined;
+  }
+  if (target.drainSeen !== undefined) {
+    const value = JSON.stringify({signal: target.drainSeen});
+    facts.set(`drain/${target.targetId}`, value);
+  }
+}
--- /dev/null
+++ b/src/engine/request_engine_test.ts
@@ -0,0 +1,222 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {Fact} from '../membership/index.js';
+import {
+  fixtureEngine,
+  fixturePreset,
+  fixtureRequest,
+  readyEngine,
+} from './engine_fixture.js';
+import type {AttemptSignal, Effect, RequestEngine} from './index.js';
+
+type Of<T extends Effect['type']> = Extract<Effect, {type: T}>;
+
+function find<T extends Effect['type']>(
+  effects: readonly Effect[],
+  type: T,
+): Of<T> {
+  const found = effects.find((effect): effect is Of<T> => effect.type === type);
+  assert.ok(found, `no effect ${type} in ${JSON.stringify(effects)}`);
+  return found;
+}
+
+function refusal(effects: readonly Effect[]): string {
+  const {outcome} = find(effects, 'respond');
+  assert.equal(outcome.type, 'refusal');
+  return outcome.type === 'refusal'
+    ? `${outcome.status} ${outcome.verdict} ${outcome.reason}`
+    : '';
+}
+
+const ok: AttemptSignal = {
+  type: 'response',
+  status: 200,
+  refused: false,
+  draining: false,
+  inFlight: undefined,
+};
+const refused: AttemptSignal = {...ok, status: 503, refused: true};
+const crashed: AttemptSignal = {type: 'lost', crashed: true};
+const book = {path: '/book', idempotencyKey: 'k1', attempt: 1};
+
+function drainFact(targetId: string): Fact {
+  const value = '{"signal":"probe"}';
+  return {ownerId: 'e-02/b1', key: `drain/${targetId}`, value, sequence: 1};
+}
+
+/** Sends a request and reports its first byte; returns the token. */
+function sendOne(
+  engine: RequestEngine,
+  requestId: string,
+  fields: Parameters<typeof fixtureRequest>[1],
+  nowMs: number,
+): string {
+  const request = fixtureRequest(requestId, fields);
+  const {token} = find(engine.onRequest(request, nowMs), 'send');
+  engine.onAttemptSignal(token, {type: 'sent'}, nowMs);
+  return token;
+}
+
+test('a request is sent and its response passed on', () => {
+  // Guards against a caller that never gets its response.
+  const engine = readyEngine({seed: 1, targetCount: 2, nowMs: 0});
+  const token = sendOne(engine, 'r1', {}, 1);
+  const respond = find(engine.onAttemptSignal(token, ok, 5), 'respond');
+  assert.deepEqual(respond.outcome, {type: 'response', token});
+  assert.equal(engine.inFlightCount(), 0);
+});
+
+test('a server error that is no refusal is passed on', () => {
+  // Guards against a second run of work that ended with an error.
+  const engine = readyEngine({seed: 1, targetCount: 2, nowMs: 0});
+  const token = sendOne(engine, 'r1', {path: '/book'}, 1);
+  const effects = engine.onAttemptSignal(token, {...ok, status: 503}, 5);
+  assert.equal(find(effects, 'respond').outcome.type, 'response');
+});
+
+test('requests that cannot be routed are refused as not-run', () => {
+  // Guards against requests that hang without preset, service, kind or target.
+  const cold = fixtureEngine(1);
+  const early = cold.onRequest(fixtureRequest('r0'), 0);
+  assert.equal(refusal(early), '503 not-run not-ready');
+  const engine = readyEngine({seed: 1, targetCount: 0, nowMs: 0});
+  const ask = (fields: Parameters<typeof fixtureRequest>[1]) =>
+    refusal(engine.onRequest(fixtureRequest('r1', fields), 0));
+  assert.equal(ask({service: 'x'}), '404 not-run unknown-service');
+  assert.equal(ask({path: '/x'}), '404 not-run unknown-kind');
+  assert.equal(ask({deadlineMs: 0}), '504 not-run deadline');
+  assert.equal(ask({}), '503 not-run no-target');
+});
+
+test('a refused request goes to another target', () => {
+  // Guards against a caller that sees the refusal of a draining target.
+  const engine = readyEngine({seed: 1, targetCount: 2, nowMs: 0});
+  const first = find(engine.onRequest(fixtureRequest('r1'), 1), 'send');
+  engine.onAttemptSignal(first.token, {type: 'sent'}, 1);
+  const second = find(engine.onAttemptSignal(first.token, refused, 2), 'send');
+  assert.notEqual(second.targetId, first.targetId);
+});
+
+test('a lost booking is not retried and its claim is settled', () => {
+  // Guards against a booking that runs twice (I4).
+  const engine = readyEngine({seed: 1, targetCount: 2, nowMs: 0});
+  const {claim, homeVmId} = find(
+    engine.onRequest(fixtureRequest('r1', book), 1),
+    'claim',
+  );
+  const granted = {token: claim.token, answer: {type: 'granted'}} as const;
+  const sent = find(engine.onClaimReply(granted, 2), 'send');
+  assert.equal(sent.freshness, 'proven');
+  engine.onAttemptSignal(sent.token, {type: 'sent'}, 2);
+  const lost = {type: 'lost', crashed: false} as const;
+  const effects = engine.onAttemptSignal(sent.token, lost, 3);
+  assert.equal(refusal(effects), '502 may-have-run connection-lost');
+  const settle = find(effects, 'settle');
+  assert.equal(settle.homeVmId, homeVmId);
+  assert.equal(settle.settlement.verdict, 'may-have-run');
+});
+
+test('answers of the home VM map to refusals', () => {
+  // Guards against a resent copy that is told not-run although it ran (I3).
+  const cases = [
+    ['ran', 2, '409 ran already-ran'],
+    ['running', 2, '409 may-have-run already-running'],
+    ['may-have-run', 2, '409 may-have-run possibly-ran'],
+    ['mismatch', 1, '422 not-run key-mismatch'],
+    ['unreachable', 1, '503 not-run home-unreachable'],
+    ['unreachable', 2, '409 may-have-run home-unreachable'],
+    ['unreachable', undefined, '409 may-have-run home-unreachable'],
+    ['not-home', 1, '503 not-run home-unreachable'],
+  ] as const;
+  for (const [type, attempt, expected] of cases) {
+    const engine = readyEngine({seed: 1, targetCount: 2, nowMs: 0});
+    const request = fixtureRequest('r1', {...book, attempt});
+    const {claim} = find(engine.onRequest(request, 1), 'claim');
+    const effects = engine.onClaimReply(
+      {token: claim.token, answer: {type}},
+      2,
+    );
+    assert.equal(refusal(effects), expected);
+    const isSettled = effects.some(effect => effect.type === 'settle');
+    assert.equal(isSettled, type === 'unreachable');
+    assert.equal(engine.inFlightCount(), 0);
+  }
+});
+
+test('a caller that goes away leaves a sent booking running', () => {
+  // Guards against a booking whose verdict is lost with its caller.
+  const engine = readyEngine({seed: 1, targetCount: 2, nowMs: 0});
+  const {claim} = find(
+    engine.onRequest(fixtureRequest('r1', book), 1),
+    'claim',
+  );
+  const granted = {token: claim.token, answer: {type: 'granted'}} as const;
+  const {token} = find(engine.onClaimReply(granted, 2), 'send');
+  engine.onAttemptSignal(token, {type: 'sent'}, 2);
+  assert.deepEqual(engine.onCallerGone('r1', 3), []);
+  const effects = engine.onAttemptSignal(token, ok, 9);
+  assert.equal(find(effects, 'settle').settlement.verdict, 'ran');
+  assert.equal(effects.length, 1);
+
+  const read = sendOne(engine, 'r2', {}, 10);
+  assert.equal(find(engine.onCallerGone('r2', 11), 'cancel').token, read);
+  assert.equal(engine.inFlightCount(), 0);
+});
+
+test('a request that crashes two targets is quarantined', () => {
+  // Guards against one request that takes down target after target.
+  const engine = readyEngine({seed: 1, targetCount: 2, nowMs: 0});
+  const bad = {fingerprint: 'bad'};
+  const outcomes = ['r1', 'r2'].map((requestId, index) => {
+    const request = fixtureRequest(requestId, bad);
+    const {token, targetId} = find(engine.onRequest(request, index), 'send');
+    engine.onAttemptSignal(token, {type: 'sent'}, index);
+    engine.onPeerFact(drainFact(targetId), index);
+    return refusal(engine.onAttemptSignal(token, crashed, index));
+  });
+  assert.deepEqual(outcomes, [
+    '502 may-have-run connection-lost',
+    '502 may-have-run connection-lost',
+  ]);
+  assert.equal(
+    refusal(engine.onRequest(fixtureRequest('r3', bad), 3)),
+    '422 may-have-run quarantined',
+  );
+});
+
+test('after a pause an unsent attempt is cancelled, not sent', () => {
+  // Guards against a process that resumes and sends an expired request.
+  const engine = readyEngine({seed: 1, targetCount: 2, nowMs: 0});
+  const {token} = find(
+    engine.onRequest(fixtureRequest('r1', {path: '/book'}), 1),
+    'send',
+  );
+  const effects = engine.onAttemptSignal(token, {type: 'sent'}, 60_000);
+  assert.equal(find(effects, 'cancel').token, token);
+  assert.equal(refusal(effects), '504 not-run deadline');
+});
+
+test('a preset switch keeps the drain flags of targets', () => {
+  // Guards against a preset that sends requests to a draining target (I5).
+  const engine = readyEngine({seed: 1, targetCount: 1, nowMs: 0});
+  engine.onPeerFact(drainFact('t-1'), 1);
+  engine.applyPreset(fixturePreset({}, 'peak'), 1);
+  const effects = engine.onRequest(fixtureRequest('r1'), 2);
+  assert.equal(refusal(effects), '503 not-run no-target');
+});
+
+test('facts are published when they change', () => {
+  // Guards against gossip that grows with every tick.
+  const engine = readyEngine({seed: 1, targetCount: 1, nowMs: 0});
+  const keys = (nowMs: number) =>
+    engine
+      .onTick(nowMs)
+      .filter(effect => effect.type === 'publish')
+      .map(effect => `${effect.key}=${effect.value}`);
+  const token = sendOne(engine, 'r1', {}, 1);
+  assert.deepEqual(keys(10), ['load/desk={"t-1":1}']);
+  assert.deepEqual(keys(20), []);
+  assert.deepEqual(keys(260), []);
+  engine.onAttemptSignal(token, ok, 300);
+  assert.deepEqual(keys(510), ['load/desk=']);
+});
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -60,9 +60,16 @@
 
 /** Step of an attempt, reported by the target adapter. */
 export type AttemptSignal =
-  /** A connection is ready and the first byte is about to be written. */
+  /**
+   * A connection is ready and the first byte is about to be written. If the
+   * returned effects hold a `cancel` of the token, no byte may be written: the
+   * deadline has passed or the attempt has ended.
+   */
   | {readonly type: 'sent'}
-  /** The complete response arrived. */
+  /**
+   * The complete response arrived, or exceeded the buffer and is streamed to
+   * the caller from now on. Signals after it are ignored.
+   */
   | {
       readonly type: 'response';
       readonly status: number;
--- a/src/recovery/types.ts
+++ b/src/recovery/types.ts
@@ -87,6 +87,9 @@
     nowMs: InstantMs,
   ): void;
 
+  /** Clears the implication of a request that a target answered in full. */
+  abstract onAnswered(fingerprint: string, nowMs: InstantMs): void;
+
   /** Takes in a peer's implication of a fingerprint at a target. */
   abstract onPeerImplication(
     fingerprint: string,
