Pass connection limits on silence and probes to the adapter

Change: contract: `send` gains silenceLimitMs, `probe` gains maxConnections, the signal `lost` gains the optional flag `silent`, which counts against no target. Late `cancelled` signals are not recorded, since adapters answer each `cancel` with one. Conclusion: the adapter has to set `silent`; until then silent connections still count against their target.

--- a/src/engine/attempt_flow.ts
+++ b/src/engine/attempt_flow.ts
@@ -60,6 +60,7 @@
       port: target.port,
       freshness: kind.idempotent ? 'any' : 'proven',
       maxConnections: snapshot.maxConnections,
+      silenceLimitMs: service.silenceLimitMs(kind),
       deadlineMs: request.deadlineMs,
     });
   }
@@ -102,8 +103,14 @@
     this.finish({request, attempt}, outcome, nowMs);
   }
 
-  /** Records a signal of an attempt that is unknown or has ended. */
+  /**
+   * Records a signal of an attempt that is unknown or has ended, except for
+   * `cancelled`, with which the adapter answers each `cancel`.
+   */
   private onLateSignal(token: string, signal: AttemptSignal): void {
+    if (signal.type === 'cancelled') {
+      return;
+    }
     if (signal.type === 'sent') {
       this.context.emit({type: 'cancel', token});
     }
@@ -189,10 +196,12 @@
   }
 
   private onLost(running: Running, signal: LostSignal, nowMs: InstantMs): void {
+    // Neither a request that crashes targets nor a silent connection may eject
+    // a target.
     const isBlamed = signal.crashed && this.onCrash(running, nowMs);
+    const isTargetFault = !isBlamed && signal.silent !== true;
     running.attempt.lose();
-    // A request that crashes targets must not eject them one after another.
-    this.finish(running, isBlamed ? 'cancelled' : 'lost', nowMs);
+    this.finish(running, isTargetFault ? 'lost' : 'cancelled', nowMs);
     this.retryOrRefuse(running, 'connection-lost', nowMs);
   }
 
--- a/src/engine/dispatcher.ts
+++ b/src/engine/dispatcher.ts
@@ -75,6 +75,7 @@
         } else if (request.usesLongLane) {
           isLongLaneFull = true;
         } else {
+          // Long kinds wait too: they must not overtake short ones in a peak.
           return;
         }
       }
--- a/src/engine/request_engine.ts
+++ b/src/engine/request_engine.ts
@@ -336,7 +336,8 @@
   }
 
   private probeService(service: ServiceState, nowMs: InstantMs): void {
-    if (service.snapshot === undefined) {
+    const snapshot = service.snapshot;
+    if (snapshot === undefined) {
       return;
     }
     const candidates = [...service.targets.values()].filter(
@@ -353,6 +354,7 @@
         targetId: target.targetId,
         host,
         port,
+        maxConnections: snapshot.maxConnections,
       });
     }
   }
--- a/src/engine/request_engine_test.ts
+++ b/src/engine/request_engine_test.ts
@@ -220,3 +220,26 @@
   engine.onAttemptSignal(token, ok, 300);
   assert.deepEqual(keys(510), ['load/desk=']);
 });
+
+test('a silent connection is not a failure of the target', () => {
+  // Guards against targets that are ejected for one dead connection.
+  const engine = readyEngine({seed: 1, targetCount: 2, nowMs: 0});
+  const outcomes = [true, false].map(silent => {
+    const token = sendOne(engine, `r${silent}`, {}, 1);
+    const lost = {type: 'lost', crashed: false, silent} as const;
+    const event = find(engine.onAttemptSignal(token, lost, 2), 'event');
+    return event.details['outcome'];
+  });
+  assert.deepEqual(outcomes, ['cancelled', 'lost']);
+});
+
+test('the limit of silence follows the service time of the kind', () => {
+  // Guards against long requests cut off on a healthy connection.
+  const engine = readyEngine({seed: 1, targetCount: 2, nowMs: 0});
+  const first = find(engine.onRequest(fixtureRequest('r0'), 0), 'send');
+  assert.equal(first.silenceLimitMs, undefined);
+  engine.onAttemptSignal(first.token, {type: 'sent'}, 0);
+  engine.onAttemptSignal(first.token, ok, 200);
+  const second = find(engine.onRequest(fixtureRequest('r1'), 201), 'send');
+  assert.equal(second.silenceLimitMs, 600);
+});
--- a/src/engine/service_state.ts
+++ b/src/engine/service_state.ts
@@ -12,6 +12,12 @@
 import type {ActiveRequest} from './active_request.js';
 import {ServiceSnapshot} from './service_snapshot.js';
 
+/** Silence on a connection, in multiples of the kind's p99, that is a fault. */
+const SILENCE_FACTOR = 3;
+
+/** Shorter silence is never a fault; covers pauses of a healthy target. */
+const MIN_SILENCE_MS = 250;
+
 /** A listed target; also a candidate for the probe scheduler. */
 export interface KnownTarget {
   readonly targetId: string;
@@ -106,6 +112,14 @@
     return this.estimators.get(kind.name)?.medianMs(nowMs) ?? 0;
   }
 
+  /** Limit of silence on a connection; undefined without any observation. */
+  silenceLimitMs(kind: KindPreset): number | undefined {
+    const p99Ms = this.estimators.get(kind.name)?.p99Ms ?? 0;
+    return p99Ms === 0
+      ? undefined
+      : Math.max(MIN_SILENCE_MS, Math.round(p99Ms * SILENCE_FACTOR));
+  }
+
   /** Estimator of a kind, created on first use. */
   estimatorOf(kind: KindPreset): ServiceTimeEstimator {
     let estimator = this.estimators.get(kind.name);
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -82,7 +82,16 @@
   /** No connection could be opened; no byte left. */
   | {readonly type: 'unreachable'}
   /** The connection broke after `sent`, also within the response. */
-  | {readonly type: 'lost'; readonly crashed: boolean}
+  | {
+      readonly type: 'lost';
+      /** A new connection to the target is refused. */
+      readonly crashed: boolean;
+      /**
+       * The adapter gave up the connection because it was silent while others
+       * answered. Counts against the connection, not against the target.
+       */
+      readonly silent?: boolean;
+    }
   /** Cancelled as the engine asked. */
   | {readonly type: 'cancelled'; readonly bytesSent: boolean};
 
@@ -99,6 +108,12 @@
       readonly freshness: 'any' | 'proven';
       /** Greatest number of connections to the target. */
       readonly maxConnections: number;
+      /**
+       * Time without a byte of the response after which an old connection
+       * counts as failed if another one to the target answered meanwhile;
+       * undefined while the service time of the kind is unknown.
+       */
+      readonly silenceLimitMs: number | undefined;
       readonly deadlineMs: InstantMs;
     }
   | {readonly type: 'cancel'; readonly token: string}
@@ -123,6 +138,8 @@
       readonly targetId: string;
       readonly host: string;
       readonly port: number;
+      /** Greatest number of connections to the target. */
+      readonly maxConnections: number;
     }
   | {readonly type: 'publish'; readonly key: string; readonly value: string}
   | {
