Test facts of peers, preset switches and unclaimed copies

Cause: malformed facts, a preset switch with requests in flight and resent copies that are refused before a claim had no test. Change: three tests. Conclusion: load and report facts are checked for malformed values only; their effect on the choice is the pool's.

--- a/src/engine/request_engine_test.ts
+++ b/src/engine/request_engine_test.ts
@@ -243,3 +243,46 @@
   const second = find(engine.onRequest(fixtureRequest('r1'), 201), 'send');
   assert.equal(second.silenceLimitMs, 600);
 });
+
+test('implications of peers quarantine, malformed facts are recorded', () => {
+  // Guards against a crash cause that moves on to the next VM, and against a
+  // faulty peer that stops this one.
+  const engine = readyEngine({seed: 1, targetCount: 2, nowMs: 0});
+  const fact = (key: string, value: string) =>
+    engine.onPeerFact({ownerId: 'e-02/b1', key, value, sequence: 1}, 1);
+  assert.deepEqual(fact('quarantine/bad', '["t-1","t-2"]'), []);
+  const request = fixtureRequest('r1', {fingerprint: 'bad'});
+  const effects = engine.onRequest(request, 2);
+  assert.equal(refusal(effects), '422 may-have-run quarantined');
+  for (const key of ['load/desk', 'report/t-1', 'quarantine/x']) {
+    for (const value of ['{', '7', '{"t-1":-1}']) {
+      assert.equal(find(fact(key, value), 'event').name, 'fact-rejected');
+    }
+  }
+});
+
+test('a request keeps the preset that was active when it arrived', () => {
+  // Guards against requests in flight that are dropped by a preset switch.
+  const engine = readyEngine({seed: 1, targetCount: 2, nowMs: 0});
+  const token = sendOne(engine, 'r1', {}, 1);
+  const empty = {name: 'empty', vmCeiling: 30, services: new Map()};
+  engine.applyPreset(empty, 2);
+  const late = engine.onRequest(fixtureRequest('r2'), 3);
+  assert.equal(refusal(late), '404 not-run unknown-service');
+  const {targetId} = find(engine.onAttemptSignal(token, refused, 4), 'send');
+  assert.ok(targetId.startsWith('t-'));
+});
+
+test('a resent copy that is refused unclaimed is not called not-run', () => {
+  // Guards against a false not-run: the first copy may run elsewhere (I3).
+  const engine = readyEngine({seed: 1, targetCount: 2, nowMs: 0});
+  const later = {...book, attempt: 2};
+  const ids = ['e-02'];
+  engine.applyMembership({readyVmIds: [], liveVmIds: ids}, 1);
+  const homeless = engine.onRequest(fixtureRequest('r1', later), 1);
+  assert.equal(refusal(homeless), '409 may-have-run home-unreachable');
+  engine.applyMembership({readyVmIds: ids, liveVmIds: ids}, 1);
+  engine.onRequest(fixtureRequest('r2', {...later, deadlineMs: 20}), 1);
+  const expired = engine.onTick(40);
+  assert.equal(refusal(expired), '504 may-have-run deadline');
+});
