Add claim book, home VM and crash quarantine

Cause: non-idempotent requests with a key must run at most once, whatever VM a copy reaches. A refusal for lack of records is itself recorded and cannot be lifted by its claimant; a not-run record admits a later attempt only if its claim was granted after the horizon; two claims that meet in a hand-over merge to may-have-run. HomeVm moves the horizon 5 s beyond each unplanned departure and return, since views of the ready VMs differ for that long, and takes records for incomplete while a ready VM is silent for 1.5 s. Contracts: ClaimRequest and ClaimRecord carry deadlineMs; ClaimBook.claim takes isInDoubt; summary has lastEvictionMs; MembershipChange has returned; CrashQuarantine has onAnswered and onPeerCleared.

--- a/src/membership/member_table.ts
+++ b/src/membership/member_table.ts
@@ -20,6 +20,12 @@
   readonly removeAfterMs: number;
 }
 
+/**
+ * Heartbeats at which a member first heard of was up for long already. News of
+ * a VM that starts arrive within 2 to 3 s.
+ */
+const HIDDEN_HEARTBEATS = 20;
+
 interface MemberRecord {
   readonly ownerId: string;
   readonly incarnation: Incarnation;
@@ -29,6 +35,8 @@
   heartbeat: number | undefined;
   /** True once the heartbeat has risen, so the owner lived meanwhile. */
   isConfirmed: boolean;
+  /** True until it is ready if it was up for long when first heard of. */
+  wasHidden: boolean;
   lastHeardMs: InstantMs;
   deadSinceMs: InstantMs;
 }
@@ -84,6 +92,9 @@
     }
     const previous = record.heartbeat;
     record.heartbeat = sign.heartbeat ?? previous;
+    if (previous === undefined) {
+      record.wasHidden = (record.heartbeat ?? 0) > HIDDEN_HEARTBEATS;
+    }
     const hasRisen =
       previous !== undefined && (record.heartbeat ?? 0) > previous;
     if (hasRisen) {
@@ -187,6 +198,7 @@
       announced,
       heartbeat,
       isConfirmed: false,
+      wasHidden: (heartbeat ?? 0) > HIDDEN_HEARTBEATS,
       lastHeardMs: nowMs,
       deadSinceMs: nowMs,
     };
@@ -219,12 +231,18 @@
   }
 
   private note(record: MemberRecord, from: MemberState | undefined): void {
+    const isBack = from === 'suspect' || from === 'dead' || record.wasHidden;
+    const returned = record.state === 'ready' && isBack;
+    if (returned) {
+      record.wasHidden = false;
+    }
     this.changes.push({
       vmId: record.incarnation.vmId,
       bootId: record.incarnation.bootId,
       from,
       to: record.state,
       planned: record.announced === 'leaving',
+      returned,
     });
   }
 }
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -62,6 +62,11 @@
   readonly to: MemberState;
   /** True when the VM announced that it leaves. */
   readonly planned: boolean;
+  /**
+   * True if the member became ready again, or was up for long before this VM
+   * heard of it, as after a partition in which its facts were removed.
+   */
+  readonly returned: boolean;
 }
 
 /** Membership and facts of one VM. */
--- a/src/recovery/index.ts
+++ b/src/recovery/index.ts
@@ -1,6 +1,18 @@
 /**
- * Contracts of the `recovery` module.
+ * Recovery: claims on non-idempotent requests and the crash quarantine.
  *
  * @packageDocumentation
  */
 export * from './types.js';
+export {
+  FingerprintQuarantine,
+  type FingerprintQuarantineOptions,
+} from './fingerprint_quarantine.js';
+export {HomeVm, type HandOverPlan, type HomeVmOptions} from './home_vm.js';
+export {
+  KeyedClaimBook,
+  RESEND_WINDOW_MS,
+  RETENTION_MS,
+  SETTLE_GRACE_MS,
+  type KeyedClaimBookOptions,
+} from './keyed_claim_book.js';
--- a/src/recovery/types.ts
+++ b/src/recovery/types.ts
@@ -11,12 +11,18 @@
   readonly key: string;
   /** Hash of method, path and body; differs for another request. */
   readonly fingerprint: string;
-  /** The caller's count; undefined if it sent none. */
+  /**
+   * The caller's count; undefined if it sent none. Also undefined when a claim
+   * without an answer is repeated at another home: the first home may have
+   * granted a later copy since.
+   */
   readonly attempt: number | undefined;
   /** Incarnation of the VM that asks. */
   readonly claimantId: string;
   /** Token of the claim, unique per claimant. */
   readonly token: string;
+  /** Deadline of the request; crosses the wire as remaining time. */
+  readonly deadlineMs: InstantMs;
 }
 
 /** Answer of the home VM. Only `granted` allows the request to run. */
@@ -47,14 +53,23 @@
   readonly claimantId: string;
   readonly token: string;
   readonly state: 'claimed' | 'not-run' | 'ran' | 'may-have-run';
+  /** Deadline of the claimed request; crosses the wire as remaining time. */
+  readonly deadlineMs: InstantMs;
   /** Instant after which the record is dropped. */
   readonly expiresMs: InstantMs;
 }
 
 /** The records that one VM keeps as home of keys. Pure. */
 export abstract class ClaimBook {
-  /** Decides on a claim and records it. */
-  abstract claim(request: ClaimRequest, nowMs: InstantMs): ClaimAnswer;
+  /**
+   * Decides on a claim and records it. With `isInDoubt`, records are taken
+   * for incomplete: another VM may act as home of the same keys.
+   */
+  abstract claim(
+    request: ClaimRequest,
+    nowMs: InstantMs,
+    options?: {readonly isInDoubt: boolean},
+  ): ClaimAnswer;
 
   /** Records the verdict; ignored unless claimant and token match. */
   abstract settle(settlement: Settlement, nowMs: InstantMs): void;
@@ -75,6 +90,8 @@
   abstract summary(): {
     readonly recordCount: number;
     readonly completeSinceMs: InstantMs;
+    /** Instant of the last early eviction; undefined if there was none. */
+    readonly lastEvictionMs: InstantMs | undefined;
   };
 }
 
@@ -94,13 +111,22 @@
     nowMs: InstantMs,
   ): void;
 
+  /** Clears a fingerprint after a complete response to it. */
+  abstract onAnswered(fingerprint: string, nowMs: InstantMs): void;
+
+  /** Takes in that a peer cleared a fingerprint. */
+  abstract onPeerCleared(fingerprint: string): void;
+
   /** True if the request must not be sent to any target. */
   abstract isQuarantined(fingerprint: string, nowMs: InstantMs): boolean;
 
   /** True if the request was in flight at one crash or more. */
   abstract isImplicated(fingerprint: string, nowMs: InstantMs): boolean;
 
-  /** Implications to share with peers: fingerprint and targets. */
+  /**
+   * Own implications to share with peers: fingerprint and targets. An empty
+   * list tells that this VM cleared the fingerprint.
+   */
   abstract implications(
     nowMs: InstantMs,
   ): ReadonlyMap<string, readonly string[]>;
