Add parsing, adoption, diff and kind look-up of documents

Cause: daemon and command line need validated documents and a rule for which version a VM keeps. Change: src/preset parses both documents (JSON with comments, strict, all errors at once with line, path, value and expectation), keeps the greatest valid version (chart adoption.json), remembers refused and superseded ones, compares documents in plain words, finds kinds, writes the next document and selects the reader VMs. The shapes of /status and /timeline are in src/preset/status_types.ts.

--- /dev/null
+++ b/src/preset/document_store.ts
@@ -0,0 +1,325 @@
+/**
+ * The newest valid version of one document, as one VM knows it.
+ *
+ * The store keeps the greatest valid version seen from any source. A maximum
+ * does not depend on the order or number of offers, so all VMs that were
+ * offered the same versions hold the same one, and none moves back.
+ *
+ * @packageDocumentation
+ */
+import type {Result} from 'neverthrow';
+import {compileChart} from '../charts/index.js';
+import type {InstantMs} from '../core/index.js';
+import adoptionFile from './adoption.json' with {type: 'json'};
+import {
+  formatIssue,
+  type DocumentError,
+  type InputIssue,
+} from './input_issue.js';
+import {parseConfigDocument} from './parse_config.js';
+import {parseVmListDocument} from './parse_vms.js';
+import type {DocumentStatus, RefusedVersion} from './status_types.js';
+import type {
+  ConfigDocument,
+  DocumentName,
+  DocumentVersion,
+  PublishedDocument,
+  VmListDocument,
+} from './types.js';
+import {compareVersions, hashBody, readRevision} from './version.js';
+
+/** Versions remembered in each of the lists of the status page. */
+const MAX_REMEMBERED_VERSIONS = 16;
+
+/** Issues named in the reason of a refusal; `preset validate` lists all. */
+const MAX_ISSUES_IN_REASON = 3;
+
+/** States of a version at one VM. */
+export type AdoptionState =
+  'offered' | 'adopted' | 'replaced' | 'superseded' | 'refused' | 'ignored';
+
+/** Events of a version at one VM. */
+export type AdoptionEvent =
+  | 'invalid'
+  | 'revision-not-raised'
+  | 'older'
+  | 'older-same-revision'
+  | 'greatest'
+  | 'newer-revision'
+  | 'newer-same-revision';
+
+const chart = compileChart<AdoptionState, AdoptionEvent>(
+  adoptionFile as Parameters<
+    typeof compileChart<AdoptionState, AdoptionEvent>
+  >[0],
+);
+
+/** The document that a VM uses now. */
+export interface AdoptedDocument<T> {
+  readonly published: PublishedDocument;
+  readonly document: T;
+  /** Instant of the adoption on this VM's clock. */
+  readonly adoptedMs: InstantMs;
+}
+
+/** What became of an offered document. */
+export type OfferOutcome<T> =
+  | {
+      readonly type: 'adopted';
+      readonly adopted: AdoptedDocument<T>;
+      /** Version in use before; undefined for the first one. */
+      readonly previous: DocumentVersion | undefined;
+      /** State of the previous version; undefined for the first one. */
+      readonly previousState: 'replaced' | 'superseded' | undefined;
+    }
+  /** The version is in use already. */
+  | {readonly type: 'unchanged'}
+  /** Older than the version in use, such as a stale answer. */
+  | {readonly type: 'ignored'}
+  /** Lost against the version in use, which has the same revision. */
+  | {readonly type: 'superseded'; readonly by: DocumentVersion}
+  | {
+      readonly type: 'refused';
+      readonly version: DocumentVersion;
+      readonly reason: string;
+      readonly issues: readonly InputIssue[];
+    };
+
+/**
+ * Holds one document. Pure.
+ *
+ * @example
+ * ```ts
+ * const store = createConfigStore();
+ * const outcome = store.offer(published, clock.nowMs());
+ * if (outcome.type === 'adopted') {
+ *   engine.applyConfig(outcome.adopted.document);
+ * }
+ * ```
+ */
+export class DocumentStore<T> {
+  private current: AdoptedDocument<T> | undefined;
+  private refused: readonly RefusedVersion[] = [];
+  private superseded: readonly DocumentVersion[] = [];
+
+  /**
+   * @param options - `name`: name of the document; `parse`: its parser
+   */
+  constructor(
+    private readonly options: {
+      readonly name: DocumentName;
+      readonly parse: (body: string) => Result<T, DocumentError>;
+    },
+  ) {}
+
+  /** Name of the document. */
+  get name(): DocumentName {
+    return this.options.name;
+  }
+
+  /** The document in use; undefined before the first adoption. */
+  get adopted(): AdoptedDocument<T> | undefined {
+    return this.current;
+  }
+
+  /**
+   * Tells whether the body of a version is worth fetching.
+   *
+   * @param version - version that a peer or the platform announced
+   * @returns true if it is newer than the one in use and was not refused
+   */
+  wants(version: DocumentVersion): boolean {
+    const current = this.current?.published.version;
+    if (current !== undefined && compareVersions(version, current) <= 0) {
+      return false;
+    }
+    return !this.refused.some(known => compareVersions(known, version) === 0);
+  }
+
+  /**
+   * Takes in a document from any source.
+   *
+   * @param published - document with the version that its source stated
+   * @param nowMs - current instant in milliseconds
+   * @returns what became of it; only `adopted` changes the document in use
+   */
+  offer(published: PublishedDocument, nowMs: InstantMs): OfferOutcome<T> {
+    const current = this.current?.published.version;
+    const {version} = published;
+    if (current !== undefined && compareVersions(version, current) === 0) {
+      return {type: 'unchanged'};
+    }
+    const mismatch = this.findMismatch(published);
+    if (mismatch !== undefined) {
+      // The entry is filed under the real hash: the true body of the stated
+      // version may still arrive and must not count as refused.
+      const sha256 = hashBody(published.body);
+      return this.refuse('invalid', {...version, sha256}, mismatch, []);
+    }
+    const parsed = this.options.parse(published.body);
+    if (parsed.isErr()) {
+      const {issues} = parsed.error;
+      return this.refuse('invalid', version, summarize(issues), issues);
+    }
+    if (current === undefined || compareVersions(version, current) > 0) {
+      return this.adopt(published, parsed.value, nowMs);
+    }
+    return this.dismiss(version, current);
+  }
+
+  /**
+   * Summarizes the document for the status page.
+   *
+   * @param nowMs - current instant in milliseconds
+   * @returns the version in use, its age, and remembered versions
+   */
+  status(nowMs: InstantMs): DocumentStatus {
+    const {current, refused, superseded} = this;
+    return {
+      revision: current?.published.version.revision ?? null,
+      platformVersion: current?.published.version.platformVersion ?? null,
+      sha256: current?.published.version.sha256 ?? null,
+      adoptedAgeMs: current === undefined ? null : nowMs - current.adoptedMs,
+      refused,
+      superseded,
+    };
+  }
+
+  /** Difference between the stated version and the body, in words. */
+  private findMismatch(published: PublishedDocument): string | undefined {
+    const {name, version, body} = published;
+    if (name !== this.options.name) {
+      return `a document named ${name}, expected ${this.options.name}`;
+    }
+    const sha256 = hashBody(body);
+    if (sha256 !== version.sha256) {
+      return `the body has hash ${sha256}, its source stated ${version.sha256}`;
+    }
+    const revision = name === 'config' ? readRevision(body) : 0;
+    return revision === version.revision
+      ? undefined
+      : `the body has revision ${revision}, its source stated ${version.revision}`;
+  }
+
+  /** Replaces the document in use by a greater version. */
+  private adopt(
+    published: PublishedDocument,
+    document: T,
+    nowMs: InstantMs,
+  ): OfferOutcome<T> {
+    chart.next('offered', 'greatest');
+    const previous = this.current?.published.version;
+    const adopted = {published, document, adoptedMs: nowMs};
+    this.current = adopted;
+    if (previous === undefined) {
+      return {
+        type: 'adopted',
+        adopted,
+        previous: undefined,
+        previousState: undefined,
+      };
+    }
+    const isRival = this.isRival(previous, published.version);
+    const previousState = chart.next(
+      'adopted',
+      isRival ? 'newer-same-revision' : 'newer-revision',
+    ) as 'replaced' | 'superseded';
+    if (isRival) {
+      this.superseded = remember(this.superseded, previous);
+    }
+    return {type: 'adopted', adopted, previous, previousState};
+  }
+
+  /** Files a valid version that is older than the one in use. */
+  private dismiss(
+    version: DocumentVersion,
+    current: DocumentVersion,
+  ): OfferOutcome<T> {
+    if (this.isRival(version, current)) {
+      chart.next('offered', 'older-same-revision');
+      this.superseded = remember(this.superseded, version);
+      return {type: 'superseded', by: current};
+    }
+    if (
+      version.revision < current.revision &&
+      version.platformVersion > current.platformVersion
+    ) {
+      const reason = `published later than revision ${current.revision} but with the lower revision ${version.revision}; expected at least ${current.revision + 1}`;
+      return this.refuse('revision-not-raised', version, reason, []);
+    }
+    chart.next('offered', 'older');
+    return {type: 'ignored'};
+  }
+
+  /**
+   * True if two operators published different documents with one revision.
+   * The list of VMs has no revision, so its versions are never rivals.
+   */
+  private isRival(a: DocumentVersion, b: DocumentVersion): boolean {
+    return (
+      this.options.name === 'config' &&
+      a.revision === b.revision &&
+      a.sha256 !== b.sha256
+    );
+  }
+
+  /** Remembers a version that must not be used. */
+  private refuse(
+    event: 'invalid' | 'revision-not-raised',
+    version: DocumentVersion,
+    reason: string,
+    issues: readonly InputIssue[],
+  ): OfferOutcome<T> {
+    chart.next('offered', event);
+    this.refused = remember(this.refused, {...version, reason});
+    return {type: 'refused', version, reason, issues};
+  }
+}
+
+/**
+ * Makes the store of the operators' document.
+ *
+ * @returns an empty store
+ *
+ * @example
+ * ```ts
+ * const store = createConfigStore();
+ * ```
+ */
+export function createConfigStore(): DocumentStore<ConfigDocument> {
+  return new DocumentStore({name: 'config', parse: parseConfigDocument});
+}
+
+/**
+ * Makes the store of the platform's list of VMs.
+ *
+ * @returns an empty store
+ *
+ * @example
+ * ```ts
+ * const store = createVmListStore();
+ * ```
+ */
+export function createVmListStore(): DocumentStore<VmListDocument> {
+  return new DocumentStore({name: 'vms', parse: parseVmListDocument});
+}
+
+/** Adds a version to a list, without duplicates; the greatest are kept. */
+function remember<V extends DocumentVersion>(
+  known: readonly V[],
+  version: V,
+): readonly V[] {
+  if (known.some(entry => compareVersions(entry, version) === 0)) {
+    return known;
+  }
+  return [...known, version]
+    .sort((a, b) => compareVersions(b, a))
+    .slice(0, MAX_REMEMBERED_VERSIONS);
+}
+
+/** Reason of a refusal in one line. */
+function summarize(issues: readonly InputIssue[]): string {
+  const shown = issues.slice(0, MAX_ISSUES_IN_REASON).map(formatIssue);
+  const rest = issues.length - shown.length;
+  return shown.join('; ') + (rest > 0 ? `; and ${rest} more` : '');
+}
--- /dev/null
+++ b/src/preset/document_store_test.ts
@@ -0,0 +1,190 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {
+  compareVersions,
+  createConfigStore,
+  createVmListStore,
+  diffConfigs,
+  formatChange,
+  nextDocument,
+  parseConfigDocument,
+  platformReaders,
+  publishedDocument,
+  type PublishedDocument,
+} from './index.js';
+import {sampleConfig} from './sample_documents.js';
+
+/** A publication: some are malformed, some are rivals with one revision. */
+const publication = fc
+  .record({
+    revision: fc.integer({min: 1, max: 5}),
+    platformVersion: fc.integer({min: 1, max: 5}),
+    capacity: fc.integer({min: -1, max: 2}),
+  })
+  .map(({revision, platformVersion, capacity}) => {
+    const body = sampleConfig(revision, {queueCapacity: capacity});
+    return publishedDocument('config', platformVersion, body);
+  });
+
+function isValid(document: PublishedDocument): boolean {
+  return parseConfigDocument(document.body).isOk();
+}
+
+test('stores never move back and end equal in any order', () => {
+  // Guards against VMs that keep different presets, or revert to an old one.
+  fc.assert(
+    fc.property(
+      fc.array(publication, {minLength: 1, maxLength: 8}).chain(offers =>
+        fc.record({
+          offers: fc.constant(offers),
+          orders: fc.array(
+            fc
+              .array(fc.nat(offers.length - 1), {maxLength: 12})
+              .chain(repeats =>
+                fc.shuffledSubarray([...offers.keys(), ...repeats], {
+                  minLength: offers.length + repeats.length,
+                }),
+              ),
+            {minLength: 2, maxLength: 4},
+          ),
+        }),
+      ),
+      ({offers, orders}) => {
+        const expected = offers
+          .filter(isValid)
+          .map(offer => offer.version)
+          .sort(compareVersions)
+          .at(-1);
+        for (const order of orders) {
+          const store = createConfigStore();
+          for (const index of order) {
+            const before = store.adopted;
+            const outcome = store.offer(offers[index]!, 0);
+            const after = store.adopted;
+            if (before !== undefined && after !== before) {
+              assert.equal(outcome.type, 'adopted');
+              assert.ok(
+                compareVersions(
+                  after!.published.version,
+                  before.published.version,
+                ) > 0,
+              );
+            }
+          }
+          assert.deepEqual(store.adopted?.published.version, expected);
+        }
+      },
+    ),
+    {seed: 21},
+  );
+});
+
+test('a bad document changes nothing and is reported with its path', () => {
+  // Guards against an operator's slip that takes the presets off all VMs.
+  const store = createConfigStore();
+  store.offer(publishedDocument('config', 1, sampleConfig(1)), 0);
+  const before = store.adopted;
+  const bad = publishedDocument(
+    'config',
+    2,
+    sampleConfig(2, {queueCapacity: -1}),
+  );
+  assert.ok(store.wants(bad.version));
+  assert.equal(store.offer(bad, 5).type, 'refused');
+  assert.equal(store.offer(bad, 6).type, 'refused');
+  assert.equal(store.adopted, before);
+  assert.ok(!store.wants(bad.version));
+  const [refused, ...rest] = store.status(7).refused;
+  assert.deepEqual(rest, []);
+  assert.equal(refused?.revision, 2);
+  assert.match(refused?.reason ?? '', /growers-desk\.queueCapacity: found -1/);
+  assert.equal(store.status(7).adoptedAgeMs, 7);
+});
+
+test('a garbled transfer does not bar the true document', () => {
+  // Guards against a VM that refuses the real body after a damaged copy.
+  const store = createConfigStore();
+  const real = publishedDocument('config', 1, sampleConfig(1));
+  const damaged = {...real, body: real.body + ' '};
+  assert.equal(store.offer(damaged, 0).type, 'refused');
+  assert.ok(store.wants(real.version));
+  assert.equal(store.offer(real, 0).type, 'adopted');
+  // Guards against a peer that raises a revision it was not given.
+  const raised = {...real, version: {...real.version, revision: 99}};
+  assert.equal(store.offer(raised, 0).type, 'refused');
+});
+
+test('the later of two racing publications wins and the other is recorded', () => {
+  // Guards against an operator who is not told that a publication lost.
+  const first = publishedDocument('config', 5, sampleConfig(2));
+  const second = publishedDocument(
+    'config',
+    6,
+    sampleConfig(2, {queueCapacity: 7}),
+  );
+  for (const order of [
+    [first, second],
+    [second, first],
+  ]) {
+    const store = createConfigStore();
+    const outcomes = order.map(document => store.offer(document, 0).type);
+    assert.equal(outcomes[0], 'adopted');
+    assert.equal(store.adopted?.published, second);
+    assert.deepEqual(store.status(0).superseded, [first.version]);
+  }
+});
+
+test('a later publication with a lower revision is refused with a reason', () => {
+  // Guards against a publication that is ignored without a word.
+  const store = createConfigStore();
+  store.offer(publishedDocument('config', 5, sampleConfig(9)), 0);
+  store.offer(publishedDocument('config', 4, sampleConfig(7)), 0);
+  assert.deepEqual(store.status(0).refused, []);
+  store.offer(publishedDocument('config', 6, sampleConfig(8)), 0);
+  assert.match(store.status(0).refused[0]?.reason ?? '', /lower revision 8/);
+});
+
+test('the platform version alone orders lists of VMs', () => {
+  // Guards against a list that reports rivals or waits for a revision.
+  const store = createVmListStore();
+  store.offer(publishedDocument('vms', 3, '{"vms": []}'), 0);
+  const stale = publishedDocument('vms', 2, '{"vms": [ ]}');
+  assert.equal(store.offer(stale, 0).type, 'ignored');
+  assert.deepEqual(store.status(0).superseded, []);
+});
+
+test('the next document keeps comments and raises the revision', () => {
+  // Guards against a preset switch that loses operators' notes.
+  const body = '// lunch from 11:30\n' + sampleConfig(12);
+  const next = nextDocument(body, 'ordinary')._unsafeUnwrap();
+  assert.ok(next.body.startsWith('// lunch from 11:30\n'));
+  assert.equal(next.document.revision, 13);
+  assert.equal(next.document.inForce, 'ordinary');
+  const error = nextDocument(body, 'dinner')._unsafeUnwrapErr();
+  assert.equal(error.type, 'unknown-preset');
+});
+
+test('differences are told in plain words, the preset in force first', () => {
+  // Guards against an operator who misses what a publication changes.
+  const before = parseConfigDocument(sampleConfig(1))._unsafeUnwrap();
+  const after = parseConfigDocument(
+    sampleConfig(2, {slowStartMs: 9, kinds: {}}),
+  )._unsafeUnwrap();
+  assert.deepEqual(diffConfigs(before, before), []);
+  assert.deepEqual(diffConfigs(before, after).map(formatChange), [
+    '  revision changes from 1 to 2',
+    '* preset lunch, service growers-desk: slow start (ms) changes from 5000 to 9',
+    '* preset lunch, service growers-desk, kind book: removed',
+    '  preset ordinary, service growers-desk: slow start (ms) changes from 5000 to 9',
+    '  preset ordinary, service growers-desk, kind book: removed',
+  ]);
+});
+
+test('few VMs read the platform, and a lone VM reads for itself', () => {
+  // Guards against reads that grow with the fleet (invariant I1).
+  const vmIds = Array.from({length: 24}, (_, index) => `e-${index}`);
+  assert.equal(platformReaders(vmIds).length, 5);
+  assert.deepEqual(platformReaders(['e-1']), ['e-1']);
+  assert.deepEqual(platformReaders([]), []);
+});
--- a/src/preset/index.ts
+++ b/src/preset/index.ts
@@ -1,6 +1,47 @@
 /**
- * Contracts of the `preset` module.
+ * Documents of the platform: shapes, parsing, versions, adoption, kinds and
+ * differences. Pure.
  *
  * @packageDocumentation
  */
+export {diffConfigs, formatChange, type DocumentChange} from './diff.js';
+export {
+  createConfigStore,
+  createVmListStore,
+  DocumentStore,
+  type AdoptedDocument,
+  type AdoptionEvent,
+  type AdoptionState,
+  type OfferOutcome,
+} from './document_store.js';
+export {
+  formatIssue,
+  type DocumentError,
+  type InputIssue,
+} from './input_issue.js';
+export {findKind} from './kind_lookup.js';
+export {
+  nextDocument,
+  type NextDocument,
+  type NextDocumentError,
+} from './next_document.js';
+export {parseConfigDocument, ROUTING_POLICY_NAMES} from './parse_config.js';
+export {parseVmListDocument} from './parse_vms.js';
+export {platformReaders} from './readers.js';
+export {
+  checkText,
+  closedObject,
+  flag,
+  identifier,
+  ipAddress,
+  MAX_TEXT_BYTES,
+  numberIn,
+  oneOf,
+  textLike,
+  wholeNumber,
+  type Rule,
+  type RuleIssue,
+} from './schema_parts.js';
+export * from './status_types.js';
 export * from './types.js';
+export {compareVersions, hashBody, publishedDocument} from './version.js';
--- /dev/null
+++ b/src/preset/jsonc_text.ts
@@ -0,0 +1,246 @@
+/**
+ * JSON with comments, read with positions. Stricter than the library: it
+ * rejects duplicate keys, where the last one would win silently, and deep
+ * nesting, which would exhaust the stack of the recursive parser.
+ *
+ * @packageDocumentation
+ */
+import {
+  createScanner,
+  findNodeAtLocation,
+  parseTree,
+  printParseErrorCode,
+  SyntaxKind,
+  type Node,
+  type ParseError,
+} from 'jsonc-parser';
+import {err, ok, type Result} from 'neverthrow';
+import type {InputIssue} from './input_issue.js';
+
+/** Greatest depth of objects and arrays; the documents need 8. */
+const MAX_DEPTH = 32;
+
+/** Longest excerpt of a value in an error, in characters. */
+const MAX_EXCERPT_LENGTH = 60;
+
+/** Most syntax errors reported for one text; later ones are consequences. */
+const MAX_SYNTAX_ISSUES = 20;
+
+/** Path of a value: keys and array indexes. */
+export type ValuePath = readonly (string | number)[];
+
+/** A parsed text with the positions of its values. */
+export class JsoncText {
+  /**
+   * @param text - source text
+   * @param root - syntax tree
+   * @param value - plain value of the whole text
+   * @internal
+   */
+  constructor(
+    private readonly text: string,
+    private readonly root: Node,
+    readonly value: unknown,
+  ) {}
+
+  /**
+   * Describes an error at a path.
+   *
+   * @param path - path of the value in question
+   * @param expected - what was expected there
+   * @returns the issue with line and value
+   */
+  issueAt(path: ValuePath, expected: string): InputIssue {
+    const node = findNodeAtLocation(this.root, [...path]);
+    const nearest = node ?? this.nearestNode(path);
+    return {
+      path: formatPath(path),
+      line: lineAt(this.text, nearest.offset),
+      value: node === undefined ? 'missing' : excerpt(toValue(node)),
+      expected,
+    };
+  }
+
+  /** Innermost existing node on the way to a path. */
+  private nearestNode(path: ValuePath): Node {
+    for (let length = path.length - 1; length > 0; length--) {
+      const node = findNodeAtLocation(this.root, path.slice(0, length));
+      if (node !== undefined) {
+        return node;
+      }
+    }
+    return this.root;
+  }
+}
+
+/**
+ * Parses JSON with comments and trailing commas.
+ *
+ * @param text - text to parse
+ * @returns the parsed text, or all syntax errors
+ *
+ * @example
+ * ```ts
+ * const parsed = parseJsonc('{"revision": 1} // first');
+ * ```
+ */
+export function parseJsonc(
+  text: string,
+): Result<JsoncText, readonly InputIssue[]> {
+  const deepOffset = findDeepNesting(text);
+  if (deepOffset !== undefined) {
+    return err([
+      {
+        path: '',
+        line: lineAt(text, deepOffset),
+        value: `more than ${MAX_DEPTH} levels of nesting`,
+        expected: `at most ${MAX_DEPTH} levels`,
+      },
+    ]);
+  }
+  const errors: ParseError[] = [];
+  const root = parseTree(text, errors, {allowTrailingComma: true});
+  if (root === undefined || errors.length > 0) {
+    return err(syntaxIssues(text, errors));
+  }
+  const keyIssues = findBadKeys(text, root, []);
+  if (keyIssues.length > 0) {
+    return err(keyIssues);
+  }
+  return ok(new JsoncText(text, root, toValue(root)));
+}
+
+/**
+ * Formats a path.
+ *
+ * @param path - keys and array indexes
+ * @returns text such as `vms[3].host`
+ */
+export function formatPath(path: ValuePath): string {
+  let text = '';
+  for (const part of path) {
+    if (typeof part === 'number') {
+      text += `[${part}]`;
+    } else if (/^[\w-]+$/.test(part)) {
+      text += text === '' ? part : `.${part}`;
+    } else {
+      text += `[${JSON.stringify(part)}]`;
+    }
+  }
+  return text;
+}
+
+/** Offset at which the nesting exceeds the limit. */
+function findDeepNesting(text: string): number | undefined {
+  const scanner = createScanner(text, true);
+  let depth = 0;
+  for (;;) {
+    const token = scanner.scan();
+    switch (token) {
+      case SyntaxKind.EOF:
+        return undefined;
+      case SyntaxKind.OpenBraceToken:
+      case SyntaxKind.OpenBracketToken:
+        depth++;
+        if (depth > MAX_DEPTH) {
+          return scanner.getTokenOffset();
+        }
+        break;
+      case SyntaxKind.CloseBraceToken:
+      case SyntaxKind.CloseBracketToken:
+        depth--;
+        break;
+      default:
+        break;
+    }
+  }
+}
+
+/** Turns the library's errors into issues. */
+function syntaxIssues(
+  text: string,
+  errors: readonly ParseError[],
+): readonly InputIssue[] {
+  if (errors.length === 0) {
+    return [
+      {path: '', line: undefined, value: 'missing', expected: 'a JSON object'},
+    ];
+  }
+  return errors.slice(0, MAX_SYNTAX_ISSUES).map(error => ({
+    path: '',
+    line: lineAt(text, error.offset),
+    value: excerpt(text.slice(error.offset, error.offset + 20)),
+    expected: `valid JSON with comments (${printParseErrorCode(error.error)})`,
+  }));
+}
+
+/** Finds duplicate keys and `__proto__`, which plain objects cannot hold. */
+function findBadKeys(
+  text: string,
+  node: Node,
+  path: ValuePath,
+): readonly InputIssue[] {
+  const issues: InputIssue[] = [];
+  const children = node.children ?? [];
+  if (node.type === 'array') {
+    children.forEach((child, index) => {
+      issues.push(...findBadKeys(text, child, [...path, index]));
+    });
+    return issues;
+  }
+  const seen = new Set<string>();
+  for (const property of children) {
+    const [keyNode, valueNode] = property.children ?? [];
+    const key = String(keyNode?.value);
+    const keyPath = [...path, key];
+    if (seen.has(key) || key === '__proto__') {
+      issues.push({
+        path: formatPath(keyPath),
+        line: lineAt(text, property.offset),
+        value: JSON.stringify(key),
+        expected: seen.has(key) ? 'each key once' : 'another key',
+      });
+    }
+    seen.add(key);
+    if (valueNode !== undefined) {
+      issues.push(...findBadKeys(text, valueNode, keyPath));
+    }
+  }
+  return issues;
+}
+
+/** Converts a node to a plain value. */
+function toValue(node: Node): unknown {
+  const children = node.children ?? [];
+  if (node.type === 'array') {
+    return children.map(toValue);
+  }
+  if (node.type !== 'object') {
+    return node.value as unknown;
+  }
+  const entries = children.flatMap(property => {
+    const [key, value] = property.children ?? [];
+    return key === undefined || value === undefined
+      ? []
+      : [[String(key.value), toValue(value)] as const];
+  });
+  return Object.fromEntries(entries);
+}
+
+/** Shortened JSON text of a value. */
+function excerpt(value: unknown): string {
+  const text = JSON.stringify(value);
+  return text.length <= MAX_EXCERPT_LENGTH
+    ? text
+    : `${text.slice(0, MAX_EXCERPT_LENGTH)}...`;
+}
+
+/** Line of an offset, counted from 1. */
+function lineAt(text: string, offset: number): number {
+  let line = 1;
+  for (let i = text.indexOf('\n'); i !== -1 && i < offset;) {
+    line++;
+    i = text.indexOf('\n', i + 1);
+  }
+  return line;
+}
--- /dev/null
+++ b/src/preset/readers.ts
@@ -0,0 +1,28 @@
+/**
+ * Which VMs read the platform.
+ *
+ * @packageDocumentation
+ */
+import {rendezvousRank} from '../core/index.js';
+
+/** Key whose ranking selects the readers; the same on all VMs. */
+const READER_KEY = 'platform-reader';
+
+/**
+ * Selects the VMs that read the platform: the first ceil(log2(n + 1)) of the
+ * rendezvous ranking. 24 VMs have 5 readers; one VM reads for itself.
+ *
+ * @param liveVmIds - live entry VMs, without duplicates
+ * @returns the readers, best first
+ *
+ * @example
+ * ```ts
+ * const isReader = platformReaders(liveVmIds).includes(self.vmId);
+ * ```
+ */
+export function platformReaders(
+  liveVmIds: readonly string[],
+): readonly string[] {
+  const count = Math.ceil(Math.log2(liveVmIds.length + 1));
+  return rendezvousRank(READER_KEY, liveVmIds).slice(0, count);
+}
