Add settings of the daemon

Cause: the daemon needs its addresses, platform URLs and limits. Change: src/settings reads JSON with comments, strictly; errors name file, line, path, value and expectation. A peer address must be one that peers can reach, and listeners must not share an address. Conclusion: ready for the composition root.

--- /dev/null
+++ b/src/settings/parse_settings.ts
@@ -0,0 +1,151 @@
+/**
+ * Parsing and validation of the daemon's settings.
+ *
+ * @packageDocumentation
+ */
+import type {Result} from 'neverthrow';
+import {z} from 'zod';
+import {
+  checkText,
+  closedObject,
+  identifier,
+  ipAddress,
+  oneOf,
+  wholeNumber,
+  type RuleIssue,
+} from '../preset/index.js';
+import type {DaemonSettings, SettingsError} from './settings_types.js';
+
+/** Time for callers to notice that a VM leaves (design page, section 5). */
+const DEFAULT_LEAVE_DELAY_MS = 2_000;
+
+/** Larger than the usual 8 KiB because callers send long cookies. */
+const DEFAULT_MAX_HEADER_BYTES = 16 * 1024;
+
+/** Responses are buffered up to the same size. */
+const DEFAULT_MAX_BODY_BYTES = 1024 * 1024;
+
+const DEFAULT_IDLE_TIMEOUT_MS = 60_000;
+
+const DEFAULT_REQUEST_TIMEOUT_MS = 30_000;
+
+/** Keys of the three listen addresses. */
+const LISTENER_KEYS = ['caller', 'operator', 'peer'] as const;
+
+/** Addresses that mean "all interfaces"; a peer cannot connect to them. */
+const WILDCARD_HOSTS: ReadonlySet<unknown> = new Set(['0.0.0.0', '::']);
+
+const listenPort = wholeNumber(0, 65_535);
+
+const addressSchema = closedObject({
+  host: ipAddress(),
+  port: wholeNumber(1, 65_535),
+});
+
+const listenSchema = closedObject({host: ipAddress(), port: listenPort});
+
+const callerSchema = closedObject({
+  host: ipAddress(),
+  port: listenPort,
+  maxHeaderBytes: wholeNumber(1_024, 1024 * 1024, 'bytes').default(
+    DEFAULT_MAX_HEADER_BYTES,
+  ),
+  maxBodyBytes: wholeNumber(0, 1024 * 1024 * 1024, 'bytes').default(
+    DEFAULT_MAX_BODY_BYTES,
+  ),
+  idleTimeoutMs: wholeNumber(1, 3_600_000, 'ms').default(
+    DEFAULT_IDLE_TIMEOUT_MS,
+  ),
+  requestTimeoutMs: wholeNumber(1, 3_600_000, 'ms').default(
+    DEFAULT_REQUEST_TIMEOUT_MS,
+  ),
+});
+
+const platformUrl = z
+  .string({error: 'a URL http://IP-address:port'})
+  .refine(isPlatformUrl, {error: 'a URL http://IP-address:port'});
+
+const settingsSchema = closedObject({
+  vmId: identifier(),
+  failureDomain: identifier(),
+  caller: callerSchema,
+  operator: listenSchema,
+  peer: listenSchema,
+  platformUrls: z
+    .array(platformUrl, {error: 'an array of URLs'})
+    .min(1, {error: 'at least one URL'}),
+  seeds: z
+    .array(addressSchema, {error: 'an array of addresses {host, port}'})
+    .default([]),
+  leaveDelayMs: wholeNumber(0, 600_000, 'ms').default(DEFAULT_LEAVE_DELAY_MS),
+  logLevel: oneOf(['trace', 'debug', 'info', 'warn', 'error', 'fatal']).default(
+    'info',
+  ),
+  randomSeed: wholeNumber(0, 2 ** 31 - 1).optional(),
+});
+
+/**
+ * Parses and validates settings. Pure.
+ *
+ * @param text - JSON text with comments
+ * @param file - name of the file, for errors
+ * @returns the settings, or an error with all issues
+ *
+ * @example
+ * ```ts
+ * const settings = parseSettings(text, 'settings.jsonc');
+ * ```
+ */
+export function parseSettings(
+  text: string,
+  file: string,
+): Result<DaemonSettings, SettingsError> {
+  return checkText(text, settingsSchema, [checkListeners, checkPeerHost])
+    .map(parsed => ({...parsed, randomSeed: parsed.randomSeed}))
+    .mapErr(issues => ({type: 'invalid-settings', file, issues}));
+}
+
+/** Two listeners must not share an address; port 0 is chosen by the OS. */
+function checkListeners(value: unknown): readonly RuleIssue[] {
+  const seen = new Map<string, string>();
+  return LISTENER_KEYS.flatMap(key => {
+    const {host, port} = readAddress(value, key);
+    const address = `${host}:${port}`;
+    const other = seen.get(address);
+    seen.set(address, key);
+    return other === undefined || port === 0 || port === undefined
+      ? []
+      : [{path: [key, 'port'], expected: `a port other than that of ${other}`}];
+  });
+}
+
+/** The peer address is published to other VMs. */
+function checkPeerHost(value: unknown): readonly RuleIssue[] {
+  const {host} = readAddress(value, 'peer');
+  return WILDCARD_HOSTS.has(host)
+    ? [{path: ['peer', 'host'], expected: 'an address that peers can reach'}]
+    : [];
+}
+
+/** Reads an address of unchecked settings. */
+function readAddress(
+  value: unknown,
+  key: string,
+): {readonly host?: unknown; readonly port?: unknown} {
+  const settings = value as Readonly<Record<string, unknown>> | null;
+  return (settings?.[key] ?? {}) as {host?: unknown; port?: unknown};
+}
+
+/** True for an http URL with an IP address and without path or query. */
+function isPlatformUrl(text: string): boolean {
+  if (!URL.canParse(text)) {
+    return false;
+  }
+  const url = new URL(text);
+  const host = url.hostname.replace(/^\[|\]$/g, '');
+  return (
+    url.protocol === 'http:' &&
+    ipAddress().safeParse(host).success &&
+    (text === url.origin || text === `${url.origin}/`)
+  );
+}
