Add the operators' command line

Cause: operators write, compare and switch presets and must learn when a publication is in force, lost or refused.

--- /dev/null
+++ b/src/cli/cli_test.ts
@@ -0,0 +1,277 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {PassThrough, Readable} from 'node:stream';
+import {text as readAll} from 'node:stream/consumers';
+import {after, test, type TestContext} from 'node:test';
+import {SystemClock} from '../core/index.js';
+import {
+  createConfigStore,
+  createVmListStore,
+  publishedDocument,
+  type DocumentStore,
+  type ConfigDocument,
+  type VmStatus,
+} from '../preset/index.js';
+import {sampleConfig} from '../preset/sample_documents.js';
+import {runCli} from './index.js';
+
+const folder = mkdtempSync(join(tmpdir(), 'sycamorepitch-cli-'));
+after(() => rmSync(folder, {recursive: true}));
+
+function fileWith(name: string, body: string): string {
+  const file = join(folder, name);
+  writeFileSync(file, body);
+  return file;
+}
+
+interface Ran {
+  readonly code: number;
+  readonly out: string;
+  readonly err: string;
+}
+
+/** Runs a command in this process. */
+async function run(args: readonly string[], stdin = ''): Promise<Ran> {
+  const stdout = new PassThrough();
+  const stderr = new PassThrough();
+  const code = await runCli(args, {
+    env: {},
+    stdin: Readable.from([Buffer.from(stdin)]),
+    stdout,
+    stderr,
+    colorDepth: 1,
+    clock: new SystemClock(),
+  });
+  stdout.end();
+  stderr.end();
+  const [out, err] = await Promise.all([readAll(stdout), readAll(stderr)]);
+  assert.doesNotMatch(out + err, /\n\s+at /, 'no stack trace');
+  return {code, out, err};
+}
+
+/** Operator port of a VM whose documents come from a real store. */
+class VmBench {
+  readonly config: DocumentStore<ConfigDocument> = createConfigStore();
+  ready = true;
+  members: readonly string[];
+  private platformVersion = 0;
+
+  constructor(readonly vmId: string) {
+    this.members = [vmId];
+  }
+
+  offer(body: string, platformVersion = ++this.platformVersion): void {
+    this.config.offer(publishedDocument('config', platformVersion, body), 0);
+  }
+
+  status(): VmStatus {
+    const inForce = this.config.adopted?.document.inForce ?? null;
+    return {
+      vmId: this.vmId,
+      bootId: 'b1',
+      failureDomain: 'a',
+      state: 'ready',
+      ready: this.ready,
+      documents: {
+        config: {...this.config.status(1_000), inForce},
+        vms: createVmListStore().status(0),
+      },
+      members: this.members.map(vmId => ({
+        vmId,
+        bootId: 'b1',
+        state: 'ready',
+        lastHeardAgeMs: 5,
+      })),
+      engine: {},
+    };
+  }
+
+  /** Starts the port; returns the options that name it. */
+  async listen(t: TestContext): Promise<readonly string[]> {
+    const server = createServer((_, response) => {
+      response.end(JSON.stringify(this.status()));
+    });
+    await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+    t.after(() => {
+      server.closeAllConnections();
+      server.close();
+    });
+    return ['--vm', `127.0.0.1:${(server.address() as AddressInfo).port}`];
+  }
+}
+
+/** Port 1 of the loopback address, where nothing listens. */
+const DEAD_VM = ['--vm', '127.0.0.1:1'];
+
+test('validate reports all errors and the exit code', async () => {
+  // Guards against a script that publishes an invalid document.
+  const good = fileWith('good.json', sampleConfig(3));
+  const valid = await run(['preset', 'validate', good]);
+  assert.equal(valid.code, 0);
+  assert.match(valid.out, /valid, revision 3, lunch in force/);
+  const bad = sampleConfig(3, {queueCapacity: -1, slots: 2});
+  const invalid = await run(['preset', 'validate', '-', '--json'], bad);
+  assert.equal(invalid.code, 1);
+  assert.match(
+    invalid.err,
+    /line \d+: presets\.lunch.*queueCapacity: found -1/,
+  );
+  const json = JSON.parse(invalid.out) as {error: {issues: unknown[]}};
+  assert.equal(json.error.issues.length, 4);
+  const list = ['preset', 'validate', '--document', 'vms', '-'];
+  assert.equal((await run(list, '{"vms": []}')).code, 0);
+});
+
+test('bad usage and unreadable input exit with 2', async () => {
+  // Guards against a mistyped command that a script takes for a result.
+  const good = fileWith('usage.json', sampleConfig(3));
+  const vms = fileWith('list.json', '{"vms": ["host:9090"]}');
+  const cases = [
+    [],
+    ['preset', 'frobnicate'],
+    ['preset', 'validate', '--frobnicate', good],
+    ['preset', 'validate', join(folder, 'missing.json')],
+    ['preset', 'validate', folder],
+    ['preset', 'show', good, 'dinner'],
+    ['preset', 'use', good, 'dinner'],
+    ['preset', 'watch', good],
+    ['preset', 'watch', good, ...DEAD_VM, '--timeout-ms', 'soon'],
+    ['status', '--vm', 'localhost:80'],
+    ['status', '--vm', '127.0.0.1:99999'],
+    ['status', '--settings', vms],
+  ];
+  for (const args of cases) {
+    const ran = await run(args);
+    assert.equal(ran.code, 2, args.join(' '));
+    assert.notEqual(ran.err, '');
+  }
+});
+
+test('help shows examples', async () => {
+  // Guards against commands that only their author can use.
+  const help = await run(['preset', 'use', '--help']);
+  assert.equal(help.code, 0);
+  assert.match(help.out, /sycamorepitch preset use presets\.jsonc lunch/);
+  assert.match((await run(['--help'])).out, /preset watch/);
+});
+
+test('show and diff describe presets in words', async () => {
+  // Guards against a difference that operators cannot read.
+  const before = fileWith('before.json', sampleConfig(3));
+  const next = fileWith('after.json', sampleConfig(4, {queueCapacity: 9}));
+  const shown = await run(['preset', 'show', before]);
+  assert.match(shown.out, /preset lunch \(in force\), at most 30 VMs/);
+  assert.match(shown.out, /280 connections per target \(9 for each VM\)/);
+  assert.match(shown.out, /book +POST +\/book +no +no +no +10 +2000 ms/);
+  const diff = await run(['preset', 'diff', before, next]);
+  assert.equal(diff.code, 0);
+  assert.match(
+    diff.out,
+    /\* preset lunch, service growers-desk: queue capacity changes from 256 to 9/,
+  );
+  const same = await run(['preset', 'diff', before, before]);
+  assert.equal(same.out, 'no difference\n');
+});
+
+test('use prints a document that validates', async t => {
+  // Guards against a switch that VMs refuse, or that undoes a later one.
+  const file = fileWith('use.json', `// note\n${sampleConfig(3)}`);
+  const used = await run(['preset', 'use', file, 'ordinary']);
+  assert.equal(used.code, 0);
+  assert.match(used.err, /revision 4: lunch is replaced by ordinary/);
+  const checked = await run(['preset', 'validate', '-'], used.out);
+  assert.match(checked.out, /revision 4, ordinary in force/);
+  const vm = new VmBench('e-01');
+  const options = await vm.listen(t);
+  vm.offer(sampleConfig(3, {queueCapacity: 1}));
+  const outdated = await run(['preset', 'use', file, 'ordinary', ...options]);
+  assert.equal(outdated.code, 1);
+  assert.equal(outdated.out, '');
+  assert.match(outdated.err, /start from the published document/);
+});
+
+test('watch ends when the document is in force on all VMs', async t => {
+  // Guards against a report of success while a VM lags.
+  const body = sampleConfig(2);
+  const file = fileWith('watch.json', body);
+  const [first, second] = [new VmBench('e-01'), new VmBench('e-02')];
+  const options = [...(await first.listen(t)), ...(await second.listen(t))];
+  first.offer(body);
+  second.offer(sampleConfig(1));
+  const lag = ['preset', 'watch', file, ...options, '--timeout-ms', '0'];
+  const lagging = await run(lag);
+  assert.equal(lagging.code, 1);
+  assert.match(lagging.out, /VM e-02: still has revision 1/);
+  const watching = run(['preset', 'watch', file, ...options]);
+  second.offer(body);
+  const done = await watching;
+  assert.equal(done.code, 0);
+  assert.equal(done.out, 'revision 2 is in force on all 2 VMs\n');
+  const partial = await run([...lag, ...DEAD_VM]);
+  assert.equal(partial.code, 1);
+  assert.match(partial.out, /127\.0\.0\.1:1: ECONNREFUSED/);
+});
+
+test('watch tells which publication won, and why one was refused', async t => {
+  // Guards against an operator who waits for a document that cannot come.
+  const vm = new VmBench('e-01');
+  const options = await vm.listen(t);
+  const mine = sampleConfig(2);
+  const file = fileWith('mine.json', mine);
+  const watch = ['preset', 'watch', file, ...options];
+  vm.offer(sampleConfig(2, {queueCapacity: 1}), 9);
+  const open = await run([...watch, '--timeout-ms', '0']);
+  assert.match(open.out, /has another publication of this revision/);
+  const known = await run([...watch, '--platform-version', '8']);
+  assert.equal(known.code, 1);
+  assert.match(known.out, /another publication of this revision won/);
+  vm.offer(mine, 8);
+  assert.match((await run(watch)).out, /won: revision 2, platform version 9/);
+  vm.offer(sampleConfig(3), 10);
+  assert.match((await run(watch)).out, /a later document won: revision 3/);
+  vm.offer(mine, 11);
+  assert.match(
+    (await run(watch)).out,
+    /refused: published later than revision/,
+  );
+});
+
+test('without a reachable VM the exit code is 3', async () => {
+  // Guards against silence of all VMs that looks like lag.
+  const file = fileWith('alone.json', sampleConfig(2));
+  const status = await run(['status', ...DEAD_VM, '--json']);
+  assert.equal(status.code, 3);
+  assert.match(status.out, /"type": "no-vm-reachable"/);
+  const watch = ['preset', 'watch', file, ...DEAD_VM, '--timeout-ms', '0'];
+  assert.equal((await run(watch)).code, 3);
+  assert.equal(
+    (await run(['preset', 'use', file, 'lunch', ...DEAD_VM])).code,
+    3,
+  );
+});
+
+test('status shows disagreement, refusals and VMs not asked', async t => {
+  // Guards against a fleet that looks healthy while VMs differ.
+  const [first, second] = [new VmBench('e-01'), new VmBench('e-02')];
+  const options = [...(await first.listen(t)), ...(await second.listen(t))];
+  first.offer(sampleConfig(1));
+  second.offer(sampleConfig(1));
+  const good = await run(['status', ...options]);
+  assert.equal(good.code, 0);
+  assert.match(
+    good.out,
+    /e-01 +a +ready +yes +lunch +1 +1 +[0-9a-f]{12} +1 s ago/,
+  );
+  second.offer(sampleConfig(2));
+  second.offer('{');
+  second.members = ['e-02', 'e-03'];
+  const bad = await run(['status', ...options]);
+  assert.equal(bad.code, 1);
+  assert.match(bad.out, /do not have the same preset document/);
+  assert.match(bad.out, /VM e-02: refused config revision 0/);
+  assert.match(bad.out, /not asked: e-03/);
+});
--- /dev/null
+++ b/src/cli/preset_show.ts
@@ -0,0 +1,127 @@
+/**
+ * `preset show`.
+ *
+ * @packageDocumentation
+ */
+import {Command, Option} from 'clipanion';
+import {err, ok, type Result} from 'neverthrow';
+import type {ConfigDocument, Preset, ServicePreset} from '../preset/index.js';
+import {readConfigFile} from './input_file.js';
+import {formatTable} from './table.js';
+import {ToolCommand, type CommandOutput} from './tool_command.js';
+import type {ToolError} from './tool_error.js';
+
+/** Prints one preset with the figures that follow from it. */
+export class PresetShow extends ToolCommand {
+  static override paths = [['preset', 'show']];
+  static override usage = Command.Usage({
+    category: 'Presets',
+    description: 'Print a preset of a document',
+    examples: [
+      ['Print the preset in force', '$0 preset show presets.jsonc'],
+      ['Print another one', '$0 preset show presets.jsonc maintenance'],
+    ],
+  });
+
+  file = Option.String({name: 'file'});
+  preset = Option.String({name: 'preset', required: false});
+
+  override async run(): Promise<Result<CommandOutput, ToolError>> {
+    const config = await readConfigFile(this.file, this.context.stdin);
+    return config.andThen(({document}): Result<CommandOutput, ToolError> => {
+      const name = this.preset ?? document.inForce;
+      const preset = document.presets.get(name);
+      if (preset === undefined) {
+        return err(unknownPreset(name, document));
+      }
+      const json = toJson(preset);
+      const {revision, inForce} = document;
+      return ok({
+        exitCode: 0,
+        text: describePreset(preset, document),
+        json: {revision, inForce, preset: json},
+      });
+    });
+  }
+}
+
+/**
+ * Error for a preset that the document does not have.
+ *
+ * @param name - name that was asked for
+ * @param document - document that lacks it
+ * @returns the error
+ */
+export function unknownPreset(
+  name: string,
+  document: ConfigDocument,
+): ToolError {
+  const names = [...document.presets.keys()].join(', ');
+  const message = `found preset ${JSON.stringify(name)}, expected one of ${names}`;
+  return {type: 'bad-usage', message};
+}
+
+/** Preset with plain objects instead of maps. */
+function toJson(preset: Preset): unknown {
+  return {...preset, services: [...preset.services.values()]};
+}
+
+/** Preset in words. */
+function describePreset(preset: Preset, document: ConfigDocument): string {
+  const mark = preset.name === document.inForce ? ' (in force)' : '';
+  const services = [...preset.services.values()];
+  return (
+    `revision ${document.revision}, preset ${preset.name}${mark}, ` +
+    `at most ${preset.vmCeiling} VMs\n` +
+    services.map(service => describeService(service, preset.vmCeiling)).join('')
+  );
+}
+
+/** Service in words. */
+function describeService(service: ServicePreset, vmCeiling: number): string {
+  const perVm = Math.floor(service.connectionsPerTarget / vmCeiling);
+  const admission = service.admission ? '' : ', no refusal by deadline';
+  const facts = [
+    `routing ${service.routing}${admission}`,
+    `${service.slotsPerTarget} slots and ${service.connectionsPerTarget} connections per target (${perVm} for each VM)`,
+    `${service.probeBudgetPerSecond} probes/s over all VMs`,
+    `long kinds on ${percent(service.longLaneShare)} of the targets, at most ${percent(service.maxEjectedShare)} ejected`,
+    `retries up to ${percent(service.retryBudgetShare)} of first attempts`,
+    `queue of ${service.queueCapacity} requests in each VM, slow start ${service.slowStartMs} ms`,
+  ];
+  const kinds = service.kinds.map(kind => [
+    kind.name,
+    kind.method,
+    kind.pathPrefix,
+    yesNo(kind.idempotent),
+    yesNo(kind.urgent),
+    yesNo(kind.long),
+    String(kind.worth),
+    `${kind.timeoutMs} ms`,
+  ]);
+  const heading = [
+    'kind',
+    'method',
+    'path prefix',
+    'idempotent',
+    'urgent',
+    'long',
+    'worth',
+    'timeout',
+  ];
+  return (
+    `service ${service.name}\n` +
+    facts.map(fact => `  ${fact}\n`).join('') +
+    formatTable([heading, ...kinds], '  ')
+  );
+}
+
+/** Share in percent. */
+function percent(share: number): string {
+  return `${Math.round(share * 1_000) / 10}%`;
+}
+
+/** Flag in words. */
+function yesNo(value: boolean): string {
+  return value ? 'yes' : 'no';
+}
--- /dev/null
+++ b/src/cli/run_cli.ts
@@ -0,0 +1,78 @@
+/**
+ * Entry point of the command line.
+ *
+ * @packageDocumentation
+ */
+import {Builtins, Cli, type Command} from 'clipanion';
+import {PresetDiff} from './preset_diff.js';
+import {PresetShow} from './preset_show.js';
+import {PresetUse} from './preset_use.js';
+import {PresetValidate} from './preset_validate.js';
+import {PresetWatch} from './preset_watch.js';
+import {StatusCommand} from './status_command.js';
+import type {ToolContext} from './tool_command.js';
+import {EXIT_CODES, messageOf} from './tool_error.js';
+
+/** Commands of the tool, in the order of the help. */
+const COMMANDS = [
+  PresetValidate,
+  PresetShow,
+  PresetDiff,
+  PresetUse,
+  PresetWatch,
+  StatusCommand,
+];
+
+/**
+ * Runs a command in this process.
+ *
+ * @param args - arguments without the program's name
+ * @param context - streams and clock
+ * @returns the exit code; never throws
+ *
+ * @example
+ * ```ts
+ * process.exitCode = await runCli(process.argv.slice(2), context);
+ * ```
+ */
+export async function runCli(
+  args: readonly string[],
+  context: ToolContext,
+): Promise<number> {
+  const cli = new Cli<ToolContext>({
+    binaryLabel: 'Command line of sycamorepitch',
+    binaryName: 'sycamorepitch',
+    enableColors: isTerminal(context),
+  });
+  cli.register(Builtins.HelpCommand);
+  for (const command of COMMANDS) {
+    cli.register(command);
+  }
+  if (args.length === 0) {
+    context.stderr.write(cli.usage(null));
+    return EXIT_CODES.badInput;
+  }
+  const command = parse(cli, args, context);
+  return command === undefined
+    ? EXIT_CODES.badInput
+    : await cli.run(command, context);
+}
+
+/** Parses the arguments; prints what is wrong with them. */
+function parse(
+  cli: Cli<ToolContext>,
+  args: readonly string[],
+  context: ToolContext,
+): Command<ToolContext> | undefined {
+  try {
+    return cli.process([...args], context);
+  } catch (error) {
+    context.stderr.write(`${messageOf(error)}\n`);
+    return undefined;
+  }
+}
+
+/** True if the output goes to a terminal; files get no colour codes. */
+function isTerminal(context: ToolContext): boolean {
+  return (context.stdout as {isTTY?: boolean}).isTTY === true;
+}
--- /dev/null
+++ b/src/cli/vm_client.ts
@@ -0,0 +1,155 @@
+/**
+ * Calls to the operator ports of VMs.
+ *
+ * @packageDocumentation
+ */
+import got from 'got';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import type {VmStatus, VmTimeline} from '../preset/index.js';
+import type {VmFailure} from './tool_error.js';
+
+/** Time for an answer of one VM. */
+const ANSWER_TIMEOUT_MS = 3_000;
+
+const versionSchema = z.object({
+  revision: z.number(),
+  platformVersion: z.number(),
+  sha256: z.string(),
+});
+
+const documentSchema = z.object({
+  revision: z.number().nullable(),
+  platformVersion: z.number().nullable(),
+  sha256: z.string().nullable(),
+  adoptedAgeMs: z.number().nullable(),
+  refused: z.array(versionSchema.extend({reason: z.string()})),
+  superseded: z.array(versionSchema),
+});
+
+/** Unknown keys are ignored: VMs of a later version may send more. */
+const statusSchema = z.object({
+  vmId: z.string(),
+  bootId: z.string(),
+  failureDomain: z.string(),
+  state: z.string(),
+  ready: z.boolean(),
+  documents: z.object({
+    config: documentSchema.extend({inForce: z.string().nullable()}),
+    vms: documentSchema,
+  }),
+  members: z.array(
+    z.object({
+      vmId: z.string(),
+      bootId: z.string(),
+      state: z.string(),
+      lastHeardAgeMs: z.number(),
+    }),
+  ),
+  engine: z.record(z.string(), z.unknown()),
+});
+
+const timelineSchema = z.object({
+  vmId: z.string(),
+  events: z.array(
+    z.object({
+      time: z.object({wallMs: z.number(), counter: z.number()}),
+      vmId: z.string(),
+      part: z.enum([
+        'attempt',
+        'request',
+        'target',
+        'config',
+        'membership',
+        'recovery',
+        'process',
+      ]),
+      name: z.string(),
+      details: z.record(
+        z.string(),
+        z.union([z.string(), z.number(), z.boolean()]),
+      ),
+    }),
+  ),
+});
+
+/** Answers of several VMs, in the order of the addresses. */
+export interface VmAnswers<T> {
+  readonly answers: readonly {
+    readonly address: string;
+    readonly value: T;
+  }[];
+  readonly failures: readonly VmFailure[];
+}
+
+/**
+ * Asks VMs for their status, all at once.
+ *
+ * @param addresses - operator ports as `host:port`
+ * @returns answers and failures; never throws
+ *
+ * @example
+ * ```ts
+ * const {answers} = await fetchStatuses(['10.0.0.1:9090']);
+ * ```
+ */
+export function fetchStatuses(
+  addresses: readonly string[],
+): Promise<VmAnswers<VmStatus>> {
+  return fetchAll(addresses, 'status', statusSchema);
+}
+
+/**
+ * Asks VMs for their time lines, all at once.
+ *
+ * @param addresses - operator ports as `host:port`
+ * @returns answers and failures; never throws
+ */
+export function fetchTimelines(
+  addresses: readonly string[],
+): Promise<VmAnswers<VmTimeline>> {
+  return fetchAll(addresses, 'timeline', timelineSchema);
+}
+
+/** Calls one path of all VMs. */
+async function fetchAll<T>(
+  addresses: readonly string[],
+  path: string,
+  schema: z.ZodType<T>,
+): Promise<VmAnswers<T>> {
+  const results = await Promise.all(
+    addresses.map(address => fetchOne(address, path, schema)),
+  );
+  return {
+    answers: results.flatMap((result, index) =>
+      result.isOk()
+        ? [{address: addresses[index] ?? '', value: result.value}]
+        : [],
+    ),
+    failures: results.flatMap(result => (result.isErr() ? [result.error] : [])),
+  };
+}
+
+/** Calls one VM. */
+async function fetchOne<T>(
+  address: string,
+  path: string,
+  schema: z.ZodType<T>,
+): Promise<Result<T, VmFailure>> {
+  try {
+    const answer: unknown = await got(`http://${address}/${path}`, {
+      retry: {limit: 0},
+      followRedirect: false,
+      timeout: {request: ANSWER_TIMEOUT_MS},
+    }).json();
+    const parsed = schema.safeParse(answer);
+    if (parsed.success) {
+      return ok(parsed.data);
+    }
+    const reason = `unexpected answer: ${parsed.error.issues[0]?.path.join('.')}`;
+    return err({address, reason});
+  } catch (error) {
+    const {code, message} = error as NodeJS.ErrnoException;
+    return err({address, reason: code ?? message});
+  }
+}
