--- /dev/null
+++ b/src/caller_http/caller_server.ts
@@ -0,0 +1,388 @@
+/**
+ * The port that callers use.
+ *
+ * @packageDocumentation
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {hashText, type Clock} from '../core/index.js';
+import type {Outcome} from '../engine/index.js';
+import type {TargetResponse} from '../target_http/index.js';
+import {Exchange, writeRefusal, type RefusalFields} from './exchange.js';
+import {endToEndHeaders} from './hop_headers.js';
+import {readHead, type RequestHead} from './request_head.js';
+
+/** Limits on what callers may send. */
+export interface CallerLimits {
+  readonly maxHeadBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headTimeoutMs: number;
+  /** Time from the first byte of a request to the last. */
+  readonly requestTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+  readonly maxConnections: number;
+}
+
+/** Limits for daemons without own settings for them. */
+export const DEFAULT_CALLER_LIMITS: CallerLimits = {
+  maxHeadBytes: 16 * 1024,
+  maxBodyBytes: 1024 * 1024,
+  headTimeoutMs: 10_000,
+  requestTimeoutMs: 30_000,
+  idleTimeoutMs: 60_000,
+  maxConnections: 20_000,
+};
+
+/** Interval at which node:http looks for callers that are too slow. */
+const TIMEOUT_CHECK_INTERVAL_MS = 500;
+
+/** Receives requests and the departure of callers. */
+export interface CallerListener {
+  onRequest(exchange: Exchange): void;
+  /** The caller closed its connection before it had its whole answer. */
+  onCallerGone(requestId: string): void;
+}
+
+/** Options of {@link CallerServer}. */
+export interface CallerServerOptions {
+  readonly clock: Clock;
+  readonly limits: CallerLimits;
+  readonly listener: CallerListener;
+}
+
+/** Headers that end at the balancer or that it states itself. */
+const NOT_FOR_TARGETS: ReadonlySet<string> = new Set([
+  'content-length',
+  'expect',
+  'x-request-token',
+  'x-timeout-ms',
+]);
+
+/**
+ * HTTP server for callers. node:http orders the answers of pipelined requests;
+ * each answer is bound to its request by an {@link Exchange}.
+ *
+ * @example
+ * ```ts
+ * const server = new CallerServer({clock, limits, listener});
+ * const port = await server.listen({host: '127.0.0.1', port: 0});
+ * ```
+ */
+export class CallerServer {
+  private readonly server: Server;
+  private readonly exchanges = new Map<string, Exchange>();
+  private readonly bySocket = new WeakMap<Socket, Set<string>>();
+  private readonly brokenSockets = new WeakSet<Socket>();
+  private requestCount = 0;
+  private stopping = false;
+
+  /** @param options - clock, limits and listener */
+  constructor(private readonly options: CallerServerOptions) {
+    const {limits} = options;
+    this.server = createServer({
+      maxHeaderSize: limits.maxHeadBytes,
+      headersTimeout: limits.headTimeoutMs,
+      requestTimeout: limits.requestTimeoutMs,
+      keepAliveTimeout: limits.idleTimeoutMs,
+      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+      requireHostHeader: false,
+      noDelay: true,
+    });
+    this.server.maxConnections = limits.maxConnections;
+    this.server.on('connection', (socket: Socket) => this.onConnection(socket));
+    this.server.on('request', (request, response) =>
+      this.onHead(request, response, false),
+    );
+    this.server.on('checkContinue', (request, response) =>
+      this.onHead(request, response, true),
+    );
+    this.server.on('checkExpectation', (_request, response) =>
+      writeRefusal(response, {
+        ...notRun(417, 'expectation-failed'),
+        close: true,
+      }),
+    );
+    this.server.on('connect', (_request, socket: Socket) =>
+      socket.end(rawRefusal(501, 'Not Implemented', 'method-not-supported')),
+    );
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      this.onClientError(error, socket as Socket),
+    );
+  }
+
+  /** Number of requests whose answer is not complete. */
+  get openCount(): number {
+    return this.exchanges.size;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param address - host and port; port 0 for any free one
+   * @returns the port
+   * @throws the error of `listen`, for example when the port is in use
+   */
+  listen(address: {
+    readonly host: string;
+    readonly port: number;
+  }): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(address.port, address.host, 1024, () => {
+        this.server.off('error', reject);
+        resolve((this.server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /**
+   * Finds a request that waits for its answer.
+   *
+   * @param requestId - id of the request
+   * @returns the exchange, or undefined if it was answered or given up
+   */
+  find(requestId: string): Exchange | undefined {
+    return this.exchanges.get(requestId);
+  }
+
+  /**
+   * Answers a request. Does nothing if the caller has gone.
+   *
+   * @param requestId - id of the request
+   * @param outcome - what the engine decided
+   * @param response - the response to pass on; its absence for an outcome of
+   *     type `response` is answered with 502 and `ran`
+   */
+  respond(
+    requestId: string,
+    outcome: Outcome,
+    response: TargetResponse | undefined,
+  ): void {
+    const exchange = this.exchanges.get(requestId);
+    if (exchange === undefined) {
+      response?.discard();
+      return;
+    }
+    if (outcome.type === 'refusal') {
+      exchange.refuse(outcome);
+    } else if (response !== undefined) {
+      exchange.answer(response);
+    } else {
+      exchange.refuse({
+        type: 'refusal',
+        status: 502,
+        verdict: 'ran',
+        reason: 'connection-lost',
+        retryAfterSeconds: undefined,
+      });
+    }
+  }
+
+  /**
+   * Stops accepting connections, closes idle ones and lets open requests
+   * finish.
+   *
+   * @returns when the last connection is closed
+   */
+  stop(): Promise<void> {
+    this.stopping = true;
+    const stopped = new Promise<void>(resolve => {
+      this.server.close(() => resolve());
+    });
+    this.server.closeIdleConnections();
+    return stopped;
+  }
+
+  /** Closes all connections at once. */
+  destroy(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private onConnection(socket: Socket): void {
+    this.bySocket.set(socket, new Set());
+    socket.on('close', () => {
+      for (const requestId of this.bySocket.get(socket) ?? []) {
+        this.exchanges.delete(requestId);
+        this.options.listener.onCallerGone(requestId);
+      }
+      this.bySocket.delete(socket);
+    });
+  }
+
+  private onHead(
+    request: IncomingMessage,
+    response: ServerResponse,
+    expectsContinue: boolean,
+  ): void {
+    // A caller that resets its connection is reported by `close`.
+    request.on('error', () => undefined);
+    response.on('error', () => undefined);
+    if (this.stopping) {
+      response.shouldKeepAlive = false;
+    }
+    const {maxBodyBytes} = this.options.limits;
+    if (Number(request.headers['content-length'] ?? 0) > maxBodyBytes) {
+      writeRefusal(response, {...notRun(413, 'body-too-large'), close: true});
+      return;
+    }
+    const head = readHead(request.headers, request.url ?? '');
+    if (head.isErr()) {
+      const {message} = head.error;
+      const close = hasBody(request);
+      writeRefusal(response, {...notRun(400, 'bad-request'), message, close});
+      return;
+    }
+    const arrivedMs = this.options.clock.nowMs();
+    if (expectsContinue) {
+      response.writeContinue();
+    }
+    this.readBody(request, response, body => {
+      this.onBody({request, response, head: head.value, arrivedMs, body});
+    });
+  }
+
+  private readBody(
+    request: IncomingMessage,
+    response: ServerResponse,
+    onBody: (body: Buffer | undefined) => void,
+  ): void {
+    if (!hasBody(request)) {
+      request.resume();
+      onBody(undefined);
+      return;
+    }
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    request.on('data', (chunk: Buffer) => {
+      sizeBytes += chunk.length;
+      if (sizeBytes <= this.options.limits.maxBodyBytes) {
+        chunks.push(chunk);
+      } else if (!response.headersSent) {
+        chunks.length = 0;
+        writeRefusal(response, {...notRun(413, 'body-too-large'), close: true});
+      }
+    });
+    request.on('end', () => {
+      if (!response.headersSent) {
+        onBody(Buffer.concat(chunks));
+      }
+    });
+  }
+
+  private onBody(parts: RequestParts): void {
+    const {request, response, body} = parts;
+    const ids = this.bySocket.get(request.socket);
+    if (ids === undefined || request.socket.destroyed) {
+      return;
+    }
+    const requestId = `r${++this.requestCount}`;
+    const exchange = new Exchange(
+      describeRequest(requestId, parts),
+      endToEndHeaders(request.headers, NOT_FOR_TARGETS),
+      body !== undefined && body.length > 0 ? body : undefined,
+      response,
+      () => this.onAnswered(requestId, request.socket),
+    );
+    ids.add(requestId);
+    this.exchanges.set(requestId, exchange);
+    this.options.listener.onRequest(exchange);
+  }
+
+  private onAnswered(requestId: string, socket: Socket): void {
+    this.exchanges.delete(requestId);
+    const ids = this.bySocket.get(socket);
+    ids?.delete(requestId);
+    if (this.brokenSockets.has(socket) && ids?.size === 0) {
+      socket.end();
+    }
+  }
+
+  private onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+    if ((this.bySocket.get(socket)?.size ?? 0) > 0) {
+      // An answer written now would be taken for that of an earlier request.
+      this.brokenSockets.add(socket);
+      return;
+    }
+    if (error.code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    socket.end(refusalOf(error.code), () => socket.destroy());
+  }
+}
+
+/** A request after its body was read. */
+interface RequestParts {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly head: RequestHead;
+  readonly arrivedMs: number;
+  readonly body: Buffer | undefined;
+}
+
+function describeRequest(
+  requestId: string,
+  parts: RequestParts,
+): Exchange['request'] {
+  const {head, request, body, arrivedMs} = parts;
+  const method = (request.method ?? 'GET').toUpperCase();
+  const text = body?.toString('latin1') ?? '';
+  return {
+    requestId,
+    service: head.service,
+    method,
+    path: head.path,
+    fingerprint: hashText(`${method} ${head.path}\n${text}`),
+    bodySizeBytes: body?.length ?? 0,
+    idempotencyKey: head.idempotencyKey,
+    attempt: head.attempt,
+    deadlineMs:
+      head.timeoutMs === undefined ? undefined : arrivedMs + head.timeoutMs,
+  };
+}
+
+function hasBody(request: IncomingMessage): boolean {
+  const {headers} = request;
+  const length = Number(headers['content-length'] ?? 0);
+  return length > 0 || headers['transfer-encoding'] !== undefined;
+}
+
+function notRun(status: number, reason: string): RefusalFields {
+  return {status, verdict: 'not-run', reason};
+}
+
+/** Answer to a request that node:http could not parse or wait for. */
+function refusalOf(code: string | undefined): string {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return rawRefusal(
+        431,
+        'Request Header Fields Too Large',
+        'head-too-large',
+      );
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return rawRefusal(408, 'Request Timeout', 'request-timeout');
+    default:
+      return rawRefusal(400, 'Bad Request', 'bad-request');
+  }
+}
+
+function rawRefusal(status: number, text: string, reason: string): string {
+  const body = `${JSON.stringify({verdict: 'not-run', reason})}\n`;
+  return [
+    `HTTP/1.1 ${status} ${text}`,
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    'x-verdict: not-run',
+    `x-refusal-reason: ${reason}`,
+    'connection: close',
+    '',
+    body,
+  ].join('\r\n');
+}
--- /dev/null
+++ b/src/caller_http/caller_server_test.ts
@@ -0,0 +1,267 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {SystemClock} from '../core/index.js';
+import {TargetResponse} from '../target_http/index.js';
+import {CallerServer, DEFAULT_CALLER_LIMITS, type Exchange} from './index.js';
+
+interface Fixture {
+  readonly server: CallerServer;
+  readonly port: number;
+  readonly exchanges: Exchange[];
+  readonly gone: string[];
+}
+
+async function start(
+  t: TestContext,
+  onRequest: (exchange: Exchange, server: CallerServer) => void,
+  limits: Partial<typeof DEFAULT_CALLER_LIMITS> = {},
+): Promise<Fixture> {
+  const exchanges: Exchange[] = [];
+  const gone: string[] = [];
+  const server = new CallerServer({
+    clock: new SystemClock(),
+    limits: {...DEFAULT_CALLER_LIMITS, maxBodyBytes: 100, ...limits},
+    listener: {
+      onRequest: exchange => {
+        exchanges.push(exchange);
+        onRequest(exchange, server);
+      },
+      onCallerGone: requestId => gone.push(requestId),
+    },
+  });
+  const port = await server.listen({host: '127.0.0.1', port: 0});
+  t.after(() => server.destroy());
+  return {server, port, exchanges, gone};
+}
+
+/** A whole response with this body. */
+function whole(body: string, headers = {}, status = 200): TargetResponse {
+  const idle = {
+    pause: () => undefined,
+    resume: () => undefined,
+    abort: () => undefined,
+  };
+  const response = new TargetResponse('t', status, headers, idle);
+  response.push(Buffer.from(body), 1_000_000);
+  response.finish();
+  return response;
+}
+
+function echo(exchange: Exchange): void {
+  exchange.answer(whole(exchange.request.path));
+}
+
+/** Sends raw text and returns all that comes back until the end. */
+async function talk(port: number, ...parts: string[]): Promise<string> {
+  const socket = connect(port, '127.0.0.1');
+  let received = '';
+  socket.on('data', data => (received += data.toString('latin1')));
+  socket.on('error', () => undefined);
+  const closed = once(socket, 'close');
+  for (const part of parts) {
+    socket.write(part);
+    await new Promise(resolve => setTimeout(resolve, 5));
+  }
+  await closed;
+  return received;
+}
+
+const HOST = 'host: desk.example\r\n';
+
+test('pipelined answers keep the order of their requests', async t => {
+  // Guards against callers that get the answer to another request.
+  const {port, exchanges} = await start(t, exchange => {
+    if (exchange.request.path === '/3') {
+      [...exchanges].reverse().forEach(echo);
+    }
+  });
+  const received = await talk(
+    port,
+    `GET /1 HTTP/1.1\r\n${HOST}\r\nGET /2 HTTP/1.1\r\n${HOST}\r\n` +
+      `GET /3 HTTP/1.1\r\n${HOST}connection: close\r\n\r\n`,
+  );
+  assert.deepEqual(received.match(/^\/\d/gm), ['/1', '/2', '/3']);
+  assert.equal(received.match(/x-verdict: ran/g)?.length, 3);
+});
+
+const MALFORMED: readonly (readonly [string, string, number])[] = [
+  ['no HTTP', 'hello\r\n\r\n', 400],
+  [
+    'two lengths',
+    `POST / HTTP/1.1\r\n${HOST}content-length: 1\r\ncontent-length: 2\r\n\r\n`,
+    400,
+  ],
+  ['no service', 'GET / HTTP/1.1\r\n\r\n', 400],
+  ['attempt 0', `GET / HTTP/1.1\r\n${HOST}x-attempt: 0\r\n\r\n`, 400],
+  [
+    'two attempts',
+    `GET / HTTP/1.1\r\n${HOST}x-attempt: 1\r\nx-attempt: 2\r\n\r\n`,
+    400,
+  ],
+  ['attempt 1.5', `GET / HTTP/1.1\r\n${HOST}x-attempt: 1.5\r\n\r\n`, 400],
+  ['negative time', `GET / HTTP/1.1\r\n${HOST}x-timeout-ms: -1\r\n\r\n`, 400],
+  ['empty key', `GET / HTTP/1.1\r\n${HOST}idempotency-key:\r\n\r\n`, 400],
+  ['asterisk', `OPTIONS * HTTP/1.1\r\n${HOST}\r\n`, 400],
+  [
+    'bad chunk',
+    `POST / HTTP/1.1\r\n${HOST}transfer-encoding: chunked\r\n\r\nxyz\r\n`,
+    400,
+  ],
+  [
+    'stated oversize',
+    `POST / HTTP/1.1\r\n${HOST}content-length: 101\r\n\r\n`,
+    413,
+  ],
+  [
+    'chunked oversize',
+    `POST / HTTP/1.1\r\n${HOST}transfer-encoding: chunked\r\n\r\n80\r\n${'x'.repeat(128)}\r\n0\r\n\r\n`,
+    413,
+  ],
+  [
+    'head oversize',
+    `GET / HTTP/1.1\r\n${HOST}x: ${'x'.repeat(20_000)}\r\n\r\n`,
+    431,
+  ],
+  ['expectation', `GET / HTTP/1.1\r\n${HOST}expect: magic\r\n\r\n`, 417],
+  ['tunnel', `CONNECT a:1 HTTP/1.1\r\n${HOST}\r\n`, 501],
+  ['slow head', `GET / HTTP/1.1\r\n`, 408],
+  ['slow body', `POST / HTTP/1.1\r\n${HOST}content-length: 9\r\n\r\nx`, 408],
+];
+
+for (const [name, text, status] of MALFORMED) {
+  test(`${name} is answered ${status} and not run`, async t => {
+    // Guards against input that reaches a target or leaves a caller waiting.
+    const {port, exchanges} = await start(t, echo, {
+      idleTimeoutMs: 50,
+      headTimeoutMs: 50,
+      requestTimeoutMs: 50,
+    });
+    const received = await talk(port, text);
+    assert.match(received, new RegExp(`^HTTP/1.1 ${status} `));
+    assert.match(received, /x-verdict: not-run/);
+    assert.equal(exchanges.length, 0);
+  });
+}
+
+test('a malformed pipelined request does not answer the one before', async t => {
+  // Guards against a refusal that is taken for the answer of another request.
+  const {port, exchanges} = await start(t, () => undefined);
+  const talking = talk(port, `GET /1 HTTP/1.1\r\n${HOST}\r\n`, 'bad\r\n\r\n');
+  while (exchanges.length === 0) {
+    await new Promise(setImmediate);
+  }
+  await new Promise(resolve => setTimeout(resolve, 20));
+  echo(exchanges[0]!);
+  const received = await talking;
+  assert.match(received, /^HTTP\/1.1 200 /);
+  assert.doesNotMatch(received, /400/);
+});
+
+test('a caller that goes away is reported once, an answered one never', async t => {
+  // Guards against targets that work for callers who left.
+  const {port, gone, exchanges} = await start(t, exchange => {
+    if (exchange.request.path === '/answered') {
+      echo(exchange);
+    }
+  });
+  await talk(
+    port,
+    `GET /answered HTTP/1.1\r\n${HOST}connection: close\r\n\r\n`,
+  );
+  const socket: Socket = connect(port, '127.0.0.1');
+  socket.write(`GET /left HTTP/1.1\r\n${HOST}\r\n`);
+  while (exchanges.length < 2) {
+    await new Promise(setImmediate);
+  }
+  socket.resetAndDestroy();
+  while (gone.length === 0) {
+    await new Promise(setImmediate);
+  }
+  assert.deepEqual(gone, [exchanges[1]?.request.requestId]);
+  echo(exchanges[1]!);
+});
+
+test('waits for 100 Continue before the body', async t => {
+  // Guards against callers that wait forever for leave to send.
+  const {port, exchanges} = await start(t, echo);
+  const received = await talk(
+    port,
+    `POST /c HTTP/1.1\r\n${HOST}expect: 100-continue\r\ncontent-length: 3\r\nconnection: close\r\n\r\n`,
+    'abc',
+  );
+  assert.match(received, /^HTTP\/1.1 100 Continue\r\n\r\nHTTP\/1.1 200 OK/);
+  assert.equal(exchanges[0]?.body?.toString(), 'abc');
+});
+
+test('hop-by-hop and internal headers stop here in both directions', async t => {
+  // Guards against targets that fake verdicts and callers that forge tokens.
+  const {port, exchanges} = await start(t, exchange => {
+    exchange.answer(
+      whole('ok', {
+        connection: 'x-private, close',
+        'x-private': '1',
+        'transfer-encoding': 'chunked',
+        'x-verdict': 'not-run',
+        'x-load-in-flight': '3',
+        'x-kept': 'caf\u00e9',
+      }),
+    );
+  });
+  const received = await talk(
+    port,
+    `GET / HTTP/1.1\r\n${HOST}x-service: other\r\nconnection: close, x-hop\r\nx-hop: 1\r\n` +
+      'x-request-token: forged\r\nx-attempt: 2\r\nx-timeout-ms: 500\r\nidempotency-key: k\r\n\r\n',
+  );
+  assert.match(received, /x-verdict: ran/);
+  assert.match(received, /x-kept: caf\u00e9/);
+  assert.doesNotMatch(received, /x-private|x-load|not-run|chunked/);
+  const {request, headers} = exchanges[0]!;
+  assert.equal(request.service, 'other');
+  assert.equal(request.attempt, 2);
+  assert.equal(request.idempotencyKey, 'k');
+  assert.ok(request.deadlineMs !== undefined);
+  assert.equal(headers['x-hop'], undefined);
+  assert.equal(headers['x-request-token'], undefined);
+});
+
+test('a streamed body that breaks destroys the connection of the caller', async t => {
+  // Guards against a part of a long answer that ends like a whole one.
+  const {port} = await start(t, exchange => {
+    const source = new TargetResponse(
+      't',
+      200,
+      {},
+      {pause: () => undefined, resume: () => undefined, abort: () => undefined},
+    );
+    source.push(Buffer.from('first'), 1);
+    exchange.answer(source);
+    source.push(Buffer.from('second'), 1);
+    setTimeout(() => source.fail(), 20);
+  });
+  const received = await talk(port, `GET / HTTP/1.1\r\n${HOST}\r\n`);
+  assert.match(received, /first/);
+  assert.doesNotMatch(received, /0\r\n\r\n$/);
+});
+
+test('a refusal carries verdict, reason and retry-after', async t => {
+  // Guards against callers that cannot tell whether to send again.
+  const {port} = await start(t, exchange =>
+    exchange.refuse({
+      type: 'refusal',
+      status: 503,
+      verdict: 'not-run',
+      reason: 'overloaded',
+      retryAfterSeconds: 1,
+    }),
+  );
+  const received = await talk(
+    port,
+    `GET / HTTP/1.1\r\n${HOST}connection: close\r\n\r\n`,
+  );
+  assert.match(received, /^HTTP\/1.1 503 /);
+  assert.match(received, /x-verdict: not-run\r\n/);
+  assert.match(received, /x-refusal-reason: overloaded\r\n/);
+  assert.match(received, /retry-after: 1\r\n/);
+});
--- /dev/null
+++ b/src/caller_http/exchange.ts
@@ -0,0 +1,177 @@
+/**
+ * One request of a caller and its answer.
+ *
+ * @packageDocumentation
+ */
+import type {ServerResponse} from 'node:http';
+import type {Outcome, CallerRequest} from '../engine/index.js';
+import type {BodySink, TargetResponse} from '../target_http/index.js';
+import {endToEndHeaders} from './hop_headers.js';
+
+/** A refusal of the engine. */
+export type Refusal = Extract<Outcome, {readonly type: 'refusal'}>;
+
+/**
+ * Headers that targets send to the balancer, and headers that only the
+ * balancer may state to callers.
+ */
+const NOT_FOR_CALLERS: ReadonlySet<string> = new Set([
+  'content-length',
+  'x-load-in-flight',
+  'x-refusal-reason',
+  'x-target-draining',
+  'x-target-refused',
+  'x-verdict',
+]);
+
+/** A request that was read and waits for its answer. */
+export class Exchange {
+  private answered = false;
+
+  /**
+   * @param request - the request as the engine gets it
+   * @param headers - end-to-end headers for the target
+   * @param body - body; undefined for a request without
+   * @param response - where the answer goes
+   * @param onAnswered - called once when the last byte was handed over
+   */
+  constructor(
+    readonly request: CallerRequest,
+    readonly headers: Readonly<Record<string, string | string[]>>,
+    readonly body: Buffer | undefined,
+    private readonly response: ServerResponse,
+    private readonly onAnswered: () => void,
+  ) {}
+
+  /** True once an answer was begun. */
+  get begun(): boolean {
+    return this.answered;
+  }
+
+  /**
+   * Passes on a target's response. Later calls do nothing.
+   *
+   * @param source - response that belongs to an attempt of this request
+   */
+  answer(source: TargetResponse): void {
+    if (this.answered) {
+      return;
+    }
+    this.answered = true;
+    const headers = endToEndHeaders(source.headers, NOT_FOR_CALLERS);
+    headers['x-verdict'] = 'ran';
+    const length = this.contentLength(source);
+    if (length !== undefined) {
+      headers['content-length'] = length;
+    }
+    try {
+      this.response.writeHead(source.status, headers);
+    } catch {
+      // A field that node:http does not write, such as a control character.
+      this.answered = false;
+      source.discard();
+      this.refuse({
+        type: 'refusal',
+        status: 502,
+        verdict: 'ran',
+        reason: 'connection-lost',
+        retryAfterSeconds: undefined,
+      });
+      return;
+    }
+    this.writeBody(source);
+  }
+
+  /**
+   * Answers without a target's response. Later calls do nothing.
+   *
+   * @param refusal - status, verdict and reason
+   */
+  refuse(refusal: Refusal): void {
+    if (this.answered) {
+      return;
+    }
+    this.answered = true;
+    const {status, verdict, reason, retryAfterSeconds} = refusal;
+    writeRefusal(this.response, {status, verdict, reason, retryAfterSeconds});
+    this.onAnswered();
+  }
+
+  private contentLength(source: TargetResponse): string | undefined {
+    const stated = source.headers['content-length'];
+    const bodiless = source.status === 204 || source.status === 304;
+    if (this.request.method === 'HEAD' || bodiless || !source.complete) {
+      return typeof stated === 'string' && source.status !== 204
+        ? stated
+        : undefined;
+    }
+    return String(source.body().length);
+  }
+
+  private writeBody(source: TargetResponse): void {
+    if (source.complete) {
+      this.response.end(source.body());
+      this.onAnswered();
+      return;
+    }
+    this.response.on('drain', () => source.resume());
+    this.response.on('close', () => source.discard());
+    source.attach(this.createSink());
+  }
+
+  private createSink(): BodySink {
+    return {
+      write: chunk => this.response.write(chunk),
+      end: () => {
+        this.response.end();
+        this.onAnswered();
+      },
+      abort: () => {
+        // The caller must not take a part of the body for the whole.
+        this.response.destroy();
+        this.onAnswered();
+      },
+    };
+  }
+}
+
+/** Fields of an answer that does not come from a target. */
+export interface RefusalFields {
+  readonly status: number;
+  readonly verdict: string;
+  readonly reason: string;
+  readonly retryAfterSeconds?: number | undefined;
+  readonly message?: string;
+  /** True to close the caller's connection after the answer. */
+  readonly close?: boolean;
+}
+
+/**
+ * Writes an answer that does not come from a target.
+ *
+ * @param response - where the answer goes; nothing may have been written
+ * @param fields - status, verdict, reason and message
+ */
+export function writeRefusal(
+  response: ServerResponse,
+  fields: RefusalFields,
+): void {
+  const {status, verdict, reason, retryAfterSeconds, message} = fields;
+  const body = Buffer.from(
+    `${JSON.stringify({verdict, reason, ...(message && {message})})}\n`,
+  );
+  const headers: Record<string, string> = {
+    'content-type': 'application/json',
+    'content-length': String(body.length),
+    'x-verdict': verdict,
+    'x-refusal-reason': reason,
+  };
+  if (retryAfterSeconds !== undefined) {
+    headers['retry-after'] = String(retryAfterSeconds);
+  }
+  if (fields.close === true) {
+    headers['connection'] = 'close';
+  }
+  response.writeHead(status, headers);
+  response.end(body);
+}
--- /dev/null
+++ b/src/standins/caller_report.ts
@@ -0,0 +1,153 @@
+/**
+ * Results of an open-loop run.
+ *
+ * @packageDocumentation
+ */
+import {build, type Histogram} from 'hdr-histogram-js';
+
+/** Histogram values are in microseconds. */
+const MICROSECONDS_PER_MS = 1_000;
+
+/** How one request ended after all its sendings. */
+export type FinalResult =
+  'answered' | 'refused' | 'uncertain' | 'already-ran' | 'failed' | 'wrong';
+
+/** Counts and latencies of one kind. */
+export class KindReport {
+  readonly counts: Record<FinalResult, number> = {
+    answered: 0,
+    refused: 0,
+    uncertain: 0,
+    'already-ran': 0,
+    failed: 0,
+    wrong: 0,
+  };
+  late = 0;
+  resends = 0;
+  private readonly latency: Histogram = build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 120_000_000,
+    numberOfSignificantValueDigits: 3,
+  });
+
+  /** @param worth - worth of one answer */
+  constructor(readonly worth: number) {}
+
+  /** Counts a request; its latency runs from its planned arrival. */
+  record(result: FinalResult, latencyMs: number, late: boolean): void {
+    this.counts[result] += 1;
+    if (late) {
+      this.late += 1;
+    }
+    if (result === 'answered') {
+      const value = Math.round(latencyMs * MICROSECONDS_PER_MS);
+      this.latency.recordValue(Math.max(1, value));
+    }
+  }
+
+  /** Latency of the answered requests at a percentile, in milliseconds. */
+  percentileMs(percentile: number): number {
+    return this.latency.getValueAtPercentile(percentile) / MICROSECONDS_PER_MS;
+  }
+
+  /** JSON form. */
+  toJSON(): object {
+    return {
+      ...this.counts,
+      late: this.late,
+      resends: this.resends,
+      worthServed: (this.counts.answered - this.late) * this.worth,
+      p50Ms: this.percentileMs(50),
+      p99Ms: this.percentileMs(99),
+      p999Ms: this.percentileMs(99.9),
+    };
+  }
+}
+
+/** Result of a comparison with the ledgers of the targets. */
+export interface LedgerCheck {
+  /** Non-idempotent requests that ran more than once. */
+  readonly doubleRuns: readonly string[];
+  /** Requests that were refused with `not-run` at the end but ran. */
+  readonly falseNotRun: readonly string[];
+  readonly probes: number;
+}
+
+/** Results of a run. */
+export interface CallerReport {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly kinds: ReadonlyMap<string, KindReport>;
+  /** Undefined if no ledger could be read. */
+  readonly ledger: LedgerCheck | undefined;
+}
+
+const COLUMNS = [
+  'kind',
+  'answered',
+  'late',
+  'refused',
+  'uncertain',
+  'already-ran',
+  'failed',
+  'wrong',
+  'resends',
+  'p50 ms',
+  'p99 ms',
+  'p99.9 ms',
+] as const;
+
+/**
+ * Formats the results as a table.
+ *
+ * @param report - results of a run
+ * @returns text that ends with a line break
+ */
+export function formatReport(report: CallerReport): string {
+  const rows = [...report.kinds].map(([name, kind]) => [
+    name,
+    String(kind.counts.answered),
+    String(kind.late),
+    String(kind.counts.refused),
+    String(kind.counts.uncertain),
+    String(kind.counts['already-ran']),
+    String(kind.counts.failed),
+    String(kind.counts.wrong),
+    String(kind.resends),
+    kind.percentileMs(50).toFixed(1),
+    kind.percentileMs(99).toFixed(1),
+    kind.percentileMs(99.9).toFixed(1),
+  ]);
+  const table = [COLUMNS, ...rows];
+  const widths = COLUMNS.map((_, i) =>
+    Math.max(...table.map(row => row[i]?.length ?? 0)),
+  );
+  const lines = table.map(row =>
+    row
+      .map((cell, i) =>
+        i === 0 ? cell.padEnd(widths[i] ?? 0) : cell.padStart(widths[i] ?? 0),
+      )
+      .join('  '),
+  );
+  const {ledger} = report;
+  lines.push('');
+  lines.push(
+    ledger === undefined
+      ? 'ledgers of the targets: not read'
+      : `double runs: ${ledger.doubleRuns.length}, ` +
+          `"not-run" answers to requests that ran: ${ledger.falseNotRun.length}, ` +
+          `probes: ${ledger.probes}`,
+  );
+  lines.push(`seed ${report.seed}, latencies from the planned arrival`);
+  return `${lines.join('\n')}\n`;
+}
+
+/** JSON form of the results. */
+export function reportToJson(report: CallerReport): string {
+  const {seed, durationMs, kinds, ledger} = report;
+  return JSON.stringify(
+    {seed, durationMs, kinds: Object.fromEntries(kinds), ledger},
+    undefined,
+    2,
+  );
+}
--- /dev/null
+++ b/src/standins/caller_run.ts
@@ -0,0 +1,275 @@
+/**
+ * Open-loop caller: requests arrive as planned, whatever the answers take.
+ *
+ * @packageDocumentation
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Agent, request as sendRequest} from 'undici';
+import type {RandomSource} from '../core/index.js';
+import {
+  KindReport,
+  type CallerReport,
+  type FinalResult,
+  type LedgerCheck,
+} from './caller_report.js';
+import type {CallerKind, CallerSettings} from './caller_settings.js';
+
+/** Time that a caller waits beyond its stated timeout. */
+const ANSWER_GRACE_MS = 2_000;
+
+/** Pause before a request is sent again. */
+const RESEND_PAUSE_MS = 100;
+
+/** One planned request. */
+interface Arrival {
+  readonly id: string;
+  readonly kind: CallerKind;
+  readonly plannedMs: number;
+  readonly firstEntry: number;
+}
+
+/** What one sending showed. */
+type Sending = FinalResult | 'not-run' | 'no-answer';
+
+/** Sends the requests of a run and collects the results. */
+export class OpenLoopCaller {
+  private readonly agent = new Agent({connections: 512, pipelining: 1});
+  private readonly reports = new Map<string, KindReport>();
+  private readonly refusedIds = new Set<string>();
+  private readonly onceIds = new Set<string>();
+  private readonly runId: string;
+
+  /**
+   * @param settings - settings of the run
+   * @param random - source of arrivals and kinds
+   */
+  constructor(
+    private readonly settings: CallerSettings,
+    private readonly random: RandomSource,
+  ) {
+    this.runId = `${settings.seed}-${process.pid}`;
+    for (const kind of settings.kinds) {
+      this.reports.set(kind.name, new KindReport(kind.worth));
+    }
+  }
+
+  /**
+   * Runs to the end of the load curve and waits for the last answers.
+   *
+   * @returns the results
+   */
+  async run(): Promise<CallerReport> {
+    const {durationMs, seed} = this.settings;
+    const startMs = performance.now();
+    const open: Promise<void>[] = [];
+    let count = 0;
+    let offsetMs = this.nextGapMs(0);
+    while (offsetMs < durationMs) {
+      const aheadMs = startMs + offsetMs - performance.now();
+      if (aheadMs > 0) {
+        await sleep(Math.ceil(aheadMs));
+      }
+      const arrival = this.plan(count++, startMs + offsetMs);
+      open.push(this.handle(arrival));
+      offsetMs += this.nextGapMs(offsetMs);
+    }
+    await Promise.all(open);
+    const ledger = await this.checkLedgers();
+    await this.agent.close();
+    return {seed, durationMs, kinds: this.reports, ledger};
+  }
+
+  private nextGapMs(offsetMs: number): number {
+    const perSecond = Math.max(rateAt(this.settings.curve, offsetMs), 0.1);
+    return (-Math.log(1 - this.random.nextFloat()) * 1_000) / perSecond;
+  }
+
+  private plan(index: number, plannedMs: number): Arrival {
+    const kind = this.drawKind();
+    const firstEntry = this.random.nextInt(this.settings.entries.length);
+    return {id: `${this.runId}-${index}`, kind, plannedMs, firstEntry};
+  }
+
+  private drawKind(): CallerKind {
+    const {kinds} = this.settings;
+    const total = kinds.reduce((sum, kind) => sum + kind.share, 0);
+    let rest = this.random.nextFloat() * total;
+    for (const kind of kinds) {
+      rest -= kind.share;
+      if (rest < 0) {
+        return kind;
+      }
+    }
+    return kinds[kinds.length - 1] as CallerKind;
+  }
+
+  /** Sends one request, again if its answer allows or demands it. */
+  private async handle(arrival: Arrival): Promise<void> {
+    const {kind, id} = arrival;
+    const report = this.reports.get(kind.name);
+    if (!kind.idempotent) {
+      this.onceIds.add(id);
+    }
+    let attempt = 1;
+    let sendings = 1;
+    let last: Sending = await this.send(arrival, attempt, sendings);
+    let everUncertain = last === 'uncertain' || last === 'no-answer';
+    while (isOpen(last) && sendings < this.settings.maxSendings) {
+      await sleep(RESEND_PAUSE_MS);
+      // The count rises only after an answer that left the result open.
+      attempt += last === 'not-run' ? 0 : 1;
+      sendings += 1;
+      if (report !== undefined) {
+        report.resends += 1;
+      }
+      last = await this.send(arrival, attempt, sendings);
+      everUncertain ||= last === 'uncertain' || last === 'no-answer';
+    }
+    const tookMs = performance.now() - arrival.plannedMs;
+    if (last === 'not-run' && !everUncertain) {
+      this.refusedIds.add(id);
+    }
+    report?.record(finalOf(last), tookMs, tookMs > kind.timeoutMs);
+  }
+
+  private async send(
+    arrival: Arrival,
+    attempt: number,
+    sendings: number,
+  ): Promise<Sending> {
+    const {kind, id} = arrival;
+    const {entries} = this.settings;
+    const entry = entries[(arrival.firstEntry + sendings - 1) % entries.length];
+    try {
+      const response = await sendRequest(
+        `http://${entry?.host}:${entry?.port}${kind.path}`,
+        {
+          method: kind.method as 'GET',
+          dispatcher: this.agent,
+          headers: {
+            'x-service': kind.service,
+            'x-request-id': id,
+            'x-attempt': String(attempt),
+            'x-timeout-ms': String(kind.timeoutMs),
+            ...(kind.idempotent ? {} : {'idempotency-key': id}),
+          },
+          body: kind.bodyBytes > 0 ? requestBody(id, kind.bodyBytes) : null,
+          signal: AbortSignal.timeout(kind.timeoutMs + ANSWER_GRACE_MS),
+        },
+      );
+      const body = await response.body.text();
+      const verdict = String(response.headers['x-verdict']);
+      return classify(response.statusCode, verdict, body, id);
+    } catch {
+      return 'no-answer';
+    }
+  }
+
+  private async checkLedgers(): Promise<LedgerCheck | undefined> {
+    const doubleRuns: string[] = [];
+    const falseNotRun: string[] = [];
+    const totals = new Map<string, number>();
+    let probes = 0;
+    let read = 0;
+    for (const port of this.settings.controlPorts) {
+      const ledger = await readLedger(port);
+      if (ledger === undefined) {
+        continue;
+      }
+      read += 1;
+      for (const [id, count] of Object.entries(ledger.runs)) {
+        totals.set(id, (totals.get(id) ?? 0) + count);
+      }
+      for (const count of Object.values(ledger.probesByTarget)) {
+        probes += count;
+      }
+    }
+    for (const [id, count] of totals) {
+      if (count > 1 && this.onceIds.has(id)) {
+        doubleRuns.push(id);
+      }
+      if (this.refusedIds.has(id)) {
+        falseNotRun.push(id);
+      }
+    }
+    return read === 0 ? undefined : {doubleRuns, falseNotRun, probes};
+  }
+}
+
+/** What the control port of a target process states. */
+interface Ledger {
+  readonly runs: Record<string, number>;
+  readonly probesByTarget: Record<string, number>;
+}
+
+/** Reads a ledger; undefined if its process has gone. */
+async function readLedger(port: number): Promise<Ledger | undefined> {
+  try {
+    const response = await sendRequest(`http://127.0.0.1:${port}/ledger`);
+    return (await response.body.json()) as Ledger;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Rate of the load curve at an instant, linear between its points. */
+function rateAt(curve: CallerSettings['curve'], offsetMs: number): number {
+  const next = curve.findIndex(point => point.atMs > offsetMs);
+  const after = curve[next];
+  const before = curve[next < 0 ? curve.length - 1 : Math.max(0, next - 1)];
+  if (before === undefined || after === undefined || before === after) {
+    return before?.requestsPerSecond ?? 0;
+  }
+  const share = (offsetMs - before.atMs) / (after.atMs - before.atMs);
+  return (
+    before.requestsPerSecond +
+    share * (after.requestsPerSecond - before.requestsPerSecond)
+  );
+}
+
+function requestBody(id: string, sizeBytes: number): string {
+  return JSON.stringify({id, pad: 'y'.repeat(sizeBytes)});
+}
+
+/** True if the request should be sent again. */
+function isOpen(sending: Sending): boolean {
+  return ['not-run', 'uncertain', 'no-answer'].includes(sending);
+}
+
+function finalOf(sending: Sending): FinalResult {
+  switch (sending) {
+    case 'not-run':
+      return 'refused';
+    case 'no-answer':
+      return 'failed';
+    default:
+      return sending;
+  }
+}
+
+/** Reads an answer; one of another request or a part of one is `wrong`. */
+function classify(
+  status: number,
+  verdict: string,
+  body: string,
+  id: string,
+): Sending {
+  if (verdict === 'not-run') {
+    return 'not-run';
+  }
+  if (status === 409) {
+    return verdict === 'ran' ? 'already-ran' : 'uncertain';
+  }
+  if (verdict === 'may-have-run') {
+    return 'uncertain';
+  }
+  if (status !== 200) {
+    return 'failed';
+  }
+  try {
+    const answer = JSON.parse(body) as {readonly id?: unknown};
+    return answer.id === id ? 'answered' : 'wrong';
+  } catch {
+    return 'wrong';
+  }
+}
--- /dev/null
+++ b/src/standins/target_control.ts
@@ -0,0 +1,113 @@
+/**
+ * Control port of a target process, for tests and benchmarks.
+ *
+ * @packageDocumentation
+ */
+import {createServer, type Server} from 'node:http';
+import {z} from 'zod';
+import type {TargetLedger} from './target_ledger.js';
+import type {TargetStandin} from './target_standin.js';
+
+const command = z.object({
+  /** Target id; absent for all targets of the process. */
+  target: z.string().optional(),
+  action: z.enum([
+    'drain',
+    'fail-fast',
+    'refuse',
+    'truncate',
+    'slow',
+    'state-load',
+    'silence',
+    'crash',
+    'heal',
+  ]),
+  /** Factor of `slow`, load of `state-load`. */
+  value: z.number().optional(),
+});
+
+/**
+ * Creates the control server: `GET /ledger`, and `POST /control` with
+ * `{"target", "action", "value"}`.
+ *
+ * @param targets - targets of the process
+ * @param ledger - ledger of the process
+ * @returns a server that does not listen yet
+ */
+export function createControlServer(
+  targets: readonly TargetStandin[],
+  ledger: TargetLedger,
+): Server {
+  return createServer((request, response) => {
+    let body = '';
+    request.on('data', chunk => (body += String(chunk)));
+    request.on('end', () => {
+      if (request.method === 'GET') {
+        response.end(JSON.stringify(ledger));
+        return;
+      }
+      const [status, answer] = runCommand(targets, body);
+      response.statusCode = status;
+      response.end(answer);
+    });
+  });
+}
+
+function runCommand(
+  targets: readonly TargetStandin[],
+  body: string,
+): [number, string] {
+  try {
+    const {target, action, value} = command.parse(JSON.parse(body));
+    for (const standin of targets) {
+      if (target === undefined || standin.id === target) {
+        apply(standin, action, value);
+      }
+    }
+    return [200, '{}'];
+  } catch (error) {
+    return [400, JSON.stringify({error: String(error)})];
+  }
+}
+
+function apply(
+  standin: TargetStandin,
+  action: z.output<typeof command>['action'],
+  value: number | undefined,
+): void {
+  const {faults} = standin;
+  switch (action) {
+    case 'drain':
+      faults.draining = true;
+      break;
+    case 'fail-fast':
+      faults.failFast = true;
+      break;
+    case 'refuse':
+      faults.refuseAll = true;
+      break;
+    case 'truncate':
+      faults.truncate = true;
+      break;
+    case 'slow':
+      faults.slowFactor = value ?? 10;
+      break;
+    case 'state-load':
+      faults.statedLoad = value;
+      break;
+    case 'silence':
+      standin.silenceConnections();
+      break;
+    case 'crash':
+      standin.crash();
+      break;
+    case 'heal':
+      faults.failFast = false;
+      faults.refuseAll = false;
+      faults.truncate = false;
+      faults.draining = false;
+      faults.slowFactor = 1;
+      faults.statedLoad = undefined;
+      break;
+  }
+}
--- /dev/null
+++ b/src/standins/target_main.ts
@@ -0,0 +1,27 @@
+/**
+ * Program: targets on loopback ports. Argument: path of the JSON settings.
+ *
+ * @packageDocumentation
+ */
+import {readFile} from 'node:fs/promises';
+import {SeededRandom} from '../core/index.js';
+import {createControlServer} from './target_control.js';
+import {TargetLedger} from './target_ledger.js';
+import {targetSettingsSchema} from './target_settings.js';
+import {TargetStandin} from './target_standin.js';
+
+const text = await readFile(process.argv[2] ?? 'targets.json', 'utf8');
+const settings = targetSettingsSchema.parse(JSON.parse(text));
+const ledger = new TargetLedger();
+const targets = settings.targets.map((spec, index) => {
+  const random = new SeededRandom({seed: settings.seed + index});
+  return new TargetStandin({spec, settings, random, ledger});
+});
+await Promise.all(targets.map(target => target.start()));
+const control = createControlServer(targets, ledger);
+control.listen(settings.controlPort, settings.host);
+process.stdout.write(
+  `targets: ${targets.length} listening, seed ${settings.seed}\n`,
+);
+
+process.on('SIGTERM', () => process.exit(0));
--- /dev/null
+++ b/src/standins/target_standin.ts
@@ -0,0 +1,354 @@
+/**
+ * One stand-in for a target: slots, queue, faults and load reports.
+ *
+ * @packageDocumentation
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import type {RandomSource} from '../core/index.js';
+import type {TargetLedger} from './target_ledger.js';
+import type {KindSpec, TargetSettings, TargetSpec} from './target_settings.js';
+
+/** Faults that tests switch on. */
+export interface TargetFaults {
+  /** Answer 500 at once. */
+  failFast: boolean;
+  /** Answer 503 with an explicit refusal at once. */
+  refuseAll: boolean;
+  /** State a greater content-length than is sent, then close. */
+  truncate: boolean;
+  draining: boolean;
+  /** Load that reports state instead of the true one. */
+  statedLoad: number | undefined;
+  /** Multiplies service times. */
+  slowFactor: number;
+}
+
+/** Options of {@link TargetStandin}. */
+export interface TargetStandinOptions {
+  readonly spec: TargetSpec;
+  readonly settings: TargetSettings;
+  readonly random: RandomSource;
+  readonly ledger: TargetLedger;
+}
+
+/** Service time of requests that match no kind. */
+const DEFAULT_KIND: KindSpec = {
+  method: '*',
+  pathPrefix: '/',
+  meanMs: 1,
+  distribution: 'fixed',
+};
+
+/** Work that waits for a slot or runs in one. */
+interface Job {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly body: string;
+  readonly expiresMs: number;
+  timer: NodeJS.Timeout | undefined;
+  gone: boolean;
+}
+
+/** A target that listens on its own port. */
+export class TargetStandin {
+  readonly faults: TargetFaults = {
+    failFast: false,
+    refuseAll: false,
+    truncate: false,
+    draining: false,
+    statedLoad: undefined,
+    slowFactor: 1,
+  };
+  private server: Server | undefined;
+  private readonly sockets = new Set<Socket>();
+  private readonly silentSockets = new WeakSet<Socket>();
+  private readonly queue: Job[] = [];
+  private readonly running = new Set<Job>();
+  private startedMs = 0;
+  private slowUntilMs = 0;
+  private nextSlowMs = 0;
+  private laggedLoad = {value: 0, readMs: 0};
+
+  /** @param options - settings, random source and ledger */
+  constructor(private readonly options: TargetStandinOptions) {}
+
+  /** Id of the target. */
+  get id(): string {
+    return this.options.spec.id;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @returns the port
+   */
+  async start(): Promise<number> {
+    const server = createServer({keepAliveTimeout: 60_000});
+    server.on('connection', (socket: Socket) => {
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
+    });
+    server.on('request', (request, response) => {
+      this.onRequest(request, response);
+    });
+    this.startedMs = performance.now();
+    this.nextSlowMs = this.startedMs + this.drawNeighbourGap();
+    this.server = server;
+    const {host, port} = this.options.spec;
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, 1024, resolve);
+    });
+    return (server.address() as AddressInfo).port;
+  }
+
+  /** Stops like a killed process: no listener, all connections broken. */
+  crash(): void {
+    this.server?.close();
+    this.server = undefined;
+    for (const socket of this.sockets) {
+      socket.resetAndDestroy();
+    }
+    this.endAllJobs();
+    this.options.ledger.recordCrash();
+    const {restartAfterMs} = this.options.settings;
+    if (restartAfterMs > 0) {
+      setTimeout(() => {
+        this.start().catch((error: unknown) => {
+          process.stderr.write(`target: ${this.id} not restarted: ${error}\n`);
+        });
+      }, restartAfterMs);
+    }
+  }
+
+  /** Makes all open connections silent; new ones work. */
+  silenceConnections(): void {
+    for (const socket of this.sockets) {
+      this.silentSockets.add(socket);
+    }
+  }
+
+  /** Stops for good. */
+  stop(): void {
+    this.server?.close();
+    this.server?.closeAllConnections();
+    this.endAllJobs();
+  }
+
+  private onRequest(request: IncomingMessage, response: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    request.on('error', () => undefined);
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('end', () => {
+      if (!this.silentSockets.has(request.socket)) {
+        this.onBody(request, response, Buffer.concat(chunks).toString('utf8'));
+      }
+    });
+  }
+
+  private onBody(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): void {
+    if (request.url === '/load' || request.url === '/health') {
+      this.answerLoad(response);
+      return;
+    }
+    if (request.headers['x-poison'] !== undefined) {
+      this.options.ledger.recordRun(this.id, requestIdOf(request));
+      this.crash();
+      return;
+    }
+    const {faults} = this;
+    if (faults.failFast) {
+      this.answer(response, 500, {error: 'fails fast'});
+      return;
+    }
+    if (faults.refuseAll || faults.draining || this.isFull()) {
+      this.refuse(response);
+      return;
+    }
+    this.enqueue(request, response, body);
+  }
+
+  private isFull(): boolean {
+    const {slots, onFull, queueLimit} = this.options.spec;
+    const limit = onFull === 'queue' ? slots + queueLimit : slots;
+    return this.running.size + this.queue.length >= limit;
+  }
+
+  private enqueue(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): void {
+    const timeoutMs = Number(request.headers['x-timeout-ms'] ?? 60_000);
+    const job: Job = {
+      request,
+      response,
+      body,
+      expiresMs: performance.now() + timeoutMs,
+      timer: undefined,
+      gone: false,
+    };
+    response.on('close', () => this.onClosed(job));
+    this.queue.push(job);
+    this.startNext();
+  }
+
+  private startNext(): void {
+    while (this.running.size < this.options.spec.slots) {
+      const job = this.queue.shift();
+      if (job === undefined) {
+        return;
+      }
+      if (job.gone) {
+        continue;
+      }
+      if (performance.now() > job.expiresMs) {
+        // The deadline passed in the queue: the work did not start.
+        this.refuse(job.response);
+        continue;
+      }
+      this.run(job);
+    }
+  }
+
+  private run(job: Job): void {
+    this.running.add(job);
+    this.options.ledger.recordRun(this.id, requestIdOf(job.request));
+    const serviceMs = this.drawServiceMs(job.request);
+    job.timer = setTimeout(() => {
+      this.running.delete(job);
+      this.complete(job);
+      this.startNext();
+    }, serviceMs);
+  }
+
+  private complete(job: Job): void {
+    const {request, response, body} = job;
+    if (this.silentSockets.has(request.socket)) {
+      return;
+    }
+    const padLength = Number(request.headers['x-pad-bytes'] ?? 64);
+    this.answer(response, 200, {
+      id: requestIdOf(request),
+      target: this.id,
+      bodyBytes: body.length,
+      pad: 'x'.repeat(padLength),
+    });
+  }
+
+  /** A caller that goes away cancels its work. */
+  private onClosed(job: Job): void {
+    if (job.response.writableFinished) {
+      return;
+    }
+    job.gone = true;
+    clearTimeout(job.timer);
+    if (this.running.delete(job)) {
+      this.startNext();
+    }
+  }
+
+  private endAllJobs(): void {
+    for (const job of [...this.running, ...this.queue]) {
+      job.gone = true;
+      clearTimeout(job.timer);
+    }
+    this.running.clear();
+    this.queue.length = 0;
+  }
+
+  private drawServiceMs(request: IncomingMessage): number {
+    const {settings, random} = this.options;
+    const kind = settings.kinds
+      .filter(
+        entry =>
+          entry.method === request.method &&
+          (request.url ?? '').startsWith(entry.pathPrefix),
+      )
+      .sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)[0];
+    const {meanMs, distribution} = kind ?? DEFAULT_KIND;
+    const drawn =
+      distribution === 'fixed'
+        ? meanMs
+        : -Math.log(1 - random.nextFloat()) * meanMs;
+    return drawn * this.currentFactor();
+  }
+
+  private currentFactor(): number {
+    const {coldFactor, warmUpMs, neighbours} = this.options.settings;
+    const nowMs = performance.now();
+    const ageMs = nowMs - this.startedMs;
+    const cold =
+      ageMs < warmUpMs ? coldFactor - (coldFactor - 1) * (ageMs / warmUpMs) : 1;
+    if (neighbours !== undefined && nowMs >= this.nextSlowMs) {
+      this.slowUntilMs = nowMs + neighbours.durationMs;
+      this.nextSlowMs = this.slowUntilMs + this.drawNeighbourGap();
+    }
+    const noisy = nowMs < this.slowUntilMs ? (neighbours?.factor ?? 1) : 1;
+    return cold * noisy * this.faults.slowFactor;
+  }
+
+  private drawNeighbourGap(): number {
+    const {settings, random} = this.options;
+    const meanGapMs = settings.neighbours?.meanGapMs;
+    return meanGapMs === undefined
+      ? Infinity
+      : -Math.log(1 - random.nextFloat()) * meanGapMs;
+  }
+
+  private statedLoad(): number {
+    const nowMs = performance.now();
+    const lagMs = this.options.settings.reportLagMs;
+    if (nowMs - this.laggedLoad.readMs >= lagMs) {
+      const value = this.running.size + this.queue.length;
+      this.laggedLoad = {value, readMs: nowMs};
+    }
+    return this.faults.statedLoad ?? this.laggedLoad.value;
+  }
+
+  private answerLoad(response: ServerResponse): void {
+    this.options.ledger.recordProbe(this.id);
+    this.answer(response, 200, {
+      inFlight: this.statedLoad(),
+      slots: this.options.spec.slots,
+      draining: this.faults.draining,
+    });
+  }
+
+  private refuse(response: ServerResponse): void {
+    response.setHeader('x-target-refused', '1');
+    this.answer(response, 503, {error: 'refused'});
+  }
+
+  private answer(response: ServerResponse, status: number, body: object): void {
+    const text = JSON.stringify(body);
+    const missing = this.faults.truncate && status === 200 ? 10 : 0;
+    response.setHeader('content-type', 'application/json');
+    response.setHeader('content-length', text.length + missing);
+    response.setHeader('x-load-in-flight', this.statedLoad());
+    if (this.faults.draining) {
+      response.setHeader('x-target-draining', '1');
+    }
+    response.statusCode = status;
+    if (missing > 0) {
+      response.write(text, () => response.destroy());
+    } else {
+      response.end(text);
+    }
+  }
+}
+
+/** Id that the stand-in caller gives to each of its requests. */
+function requestIdOf(request: IncomingMessage): string {
+  return String(request.headers['x-request-id'] ?? 'unnamed');
+}
--- /dev/null
+++ b/src/target_http/target_client.ts
@@ -0,0 +1,204 @@
+/**
+ * Sends attempts and probes to targets.
+ *
+ * @packageDocumentation
+ */
+import type {Clock, InstantMs} from '../core/index.js';
+import type {LoadReport} from '../routing/index.js';
+import {Attempt, type AttemptRequest, type SignalListener} from './attempt.js';
+import {ConnectionPool} from './connection_pool.js';
+import {readLoadBody} from './load_headers.js';
+import type {TargetResponse} from './target_response.js';
+
+/** A probe that takes longer gives no report. */
+const PROBE_TIMEOUT_MS = 1_000;
+
+/** Connections to a target that got no request for this time are closed. */
+const POOL_IDLE_LIMIT_MS = 60_000;
+
+/** Address of a target. */
+export interface TargetAddress {
+  readonly targetId: string;
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Options of {@link TargetClient.send}. */
+export interface SendOptions {
+  readonly target: TargetAddress;
+  readonly request: AttemptRequest;
+  /** Greatest number of connections of this VM to the target. */
+  readonly maxConnections: number;
+  readonly listener: SignalListener;
+}
+
+/**
+ * The connections of one VM to all targets.
+ *
+ * @example
+ * ```ts
+ * const client = new TargetClient({clock: new SystemClock()});
+ * client.send({target, request, maxConnections: 9, listener});
+ * ```
+ */
+export class TargetClient {
+  private readonly clock: Clock;
+  private readonly pools = new Map<string, ConnectionPool>();
+  private readonly attempts = new Map<string, OpenAttempt>();
+  private probeCount = 0;
+
+  /** @param options - `clock`: source of instants */
+  constructor(options: {readonly clock: Clock}) {
+    this.clock = options.clock;
+  }
+
+  /** Number of connections, those being opened included. */
+  get connectionCount(): number {
+    let count = 0;
+    for (const pool of this.pools.values()) {
+      count += pool.size;
+    }
+    return count;
+  }
+
+  /**
+   * Starts an attempt. All results arrive as signals.
+   *
+   * @param options - target, request, limit and listener
+   */
+  send(options: SendOptions): void {
+    const {request, target} = options;
+    const {token} = request;
+    const pool = this.poolOf(target);
+    const attempt = new Attempt(request, (signal, response) => {
+      if (signal.type !== 'sent') {
+        this.attempts.delete(token);
+      }
+      options.listener(signal, response);
+    });
+    this.attempts.set(token, {attempt, pool});
+    pool.submit(attempt, options.maxConnections);
+  }
+
+  /**
+   * Cancels an attempt; its listener gets the signal `cancelled`. An unknown
+   * token, or one whose attempt ended, is ignored.
+   *
+   * @param token - token of the attempt
+   */
+  cancel(token: string): void {
+    const open = this.attempts.get(token);
+    open?.pool.cancel(open.attempt);
+  }
+
+  /**
+   * Asks a target for its load. No report follows if it does not answer.
+   *
+   * @param target - target to ask
+   * @param maxConnections - greatest number of connections to the target
+   * @param onReport - receives the report, stamped with the middle of the
+   *     round trip
+   */
+  probe(
+    target: TargetAddress,
+    maxConnections: number,
+    onReport: (report: LoadReport) => void,
+  ): void {
+    const sentMs = this.clock.nowMs();
+    const token = `probe-${++this.probeCount}`;
+    const timer = setTimeout(() => this.cancel(token), PROBE_TIMEOUT_MS);
+    this.send({
+      target,
+      maxConnections,
+      request: probeRequest(token, sentMs),
+      listener: (signal, response) => {
+        if (signal.type === 'sent') {
+          return;
+        }
+        clearTimeout(timer);
+        const measuredMs = (sentMs + this.clock.nowMs()) / 2;
+        const report = readProbe(target.targetId, measuredMs, response);
+        if (report !== undefined) {
+          onReport(report);
+        }
+      },
+    });
+  }
+
+  /** Checks all connections for silence; to be called each 50 ms or so. */
+  tick(): void {
+    const nowMs = this.clock.nowMs();
+    for (const [key, pool] of this.pools) {
+      pool.tick(nowMs);
+      if (pool.size === 0 && nowMs - pool.usedMs > POOL_IDLE_LIMIT_MS) {
+        this.pools.delete(key);
+      }
+    }
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    for (const pool of this.pools.values()) {
+      pool.destroy();
+    }
+    this.pools.clear();
+  }
+
+  private poolOf(target: TargetAddress): ConnectionPool {
+    const key = `${target.targetId}@${target.host}:${target.port}`;
+    let pool = this.pools.get(key);
+    if (pool === undefined) {
+      pool = new ConnectionPool({
+        host: target.host,
+        port: target.port,
+        nowMs: () => this.clock.nowMs(),
+      });
+      this.pools.set(key, pool);
+    }
+    return pool;
+  }
+}
+
+/** An attempt and the pool that carries it. */
+interface OpenAttempt {
+  readonly attempt: Attempt;
+  readonly pool: ConnectionPool;
+}
+
+function probeRequest(token: string, nowMs: InstantMs): AttemptRequest {
+  return {
+    token,
+    method: 'GET',
+    path: '/load',
+    headers: {},
+    body: undefined,
+    freshness: 'any',
+    deadlineMs: nowMs + PROBE_TIMEOUT_MS,
+    silenceLimitMs: undefined,
+  };
+}
+
+function readProbe(
+  targetId: string,
+  measuredMs: InstantMs,
+  response: TargetResponse | undefined,
+): LoadReport | undefined {
+  if (response === undefined || response.status !== 200) {
+    response?.discard();
+    return undefined;
+  }
+  const load = readLoadBody(response.body().toString('utf8'));
+  if (load === undefined) {
+    response.discard();
+    return undefined;
+  }
+  const draining =
+    load.draining || response.headers['x-target-draining'] === '1';
+  return {
+    targetId,
+    source: 'probe',
+    inFlight: load.inFlight,
+    draining,
+    measuredMs,
+  };
+}
