Write nothing when the engine cancels an attempt on sent

Cause: the engine re-checks the deadline and the quarantine on the signal sent and cancels in the returned effects.

Change: a cancellation within the signal aborts before undici writes and is reported with bytesSent false. The caller port can announce that it drains.

Conclusion: the signal sent is the last point at which a request is not-run.

--- a/src/caller_http/caller_server.ts
+++ b/src/caller_http/caller_server.ts
@@ -183,6 +183,11 @@
     }
   }
 
+  /** Asks callers to close their connections after the next answer. */
+  beginDrain(): void {
+    this.stopping = true;
+  }
+
   /**
    * Stops accepting connections, closes idle ones and lets open requests
    * finish.
--- a/src/target_http/attempt.ts
+++ b/src/target_http/attempt.ts
@@ -57,10 +57,20 @@
     return this.finished;
   }
 
-  /** Reports that the first byte is about to be written. */
-  markSent(nowMs: InstantMs): void {
-    this.sentMs = nowMs;
+  /**
+   * Reports that the first byte is about to be written. The listener may cancel
+   * the attempt during the call; then nothing may be written.
+   *
+   * @param nowMs - current instant in milliseconds
+   * @returns true if the first byte may be written
+   */
+  markSent(nowMs: InstantMs): boolean {
     this.listener({type: 'sent'}, undefined);
+    if (this.finished) {
+      return false;
+    }
+    this.sentMs = nowMs;
+    return true;
   }
 
   /** Reports the final signal; later calls do nothing. */
--- a/src/target_http/target_client_test.ts
+++ b/src/target_http/target_client_test.ts
@@ -251,6 +251,38 @@
   assert.equal(sent.signals.length, 2);
 });
 
+test('nothing is written when the attempt is cancelled on sent', async t => {
+  // Guards against work that starts although its caller was told not-run.
+  const received: (string | undefined)[] = [];
+  const {port} = await startRawTarget(t, (socket, text) => {
+    received.push(/x-request-token: (\w+)/.exec(text)?.[1]);
+    socket.write(OK);
+  });
+  const client = createClient(t);
+  const final = new Promise<AttemptSignal>(resolve => {
+    client.send({
+      target: {targetId: 't', host: '127.0.0.1', port},
+      maxConnections: 1,
+      request: {
+        token: 'a',
+        method: 'POST',
+        path: '/',
+        headers: {},
+        body: Buffer.from('x'),
+        freshness: 'proven',
+        deadlineMs: performance.now() + 60_000,
+        silenceLimitMs: undefined,
+      },
+      listener: signal =>
+        signal.type === 'sent' ? client.cancel('a') : resolve(signal),
+    });
+  });
+  assert.deepEqual(await final, {type: 'cancelled', bytesSent: false});
+  const next = send(client, port, {token: 'b', maxConnections: 1});
+  assert.equal((await next.final).type, 'response');
+  assert.deepEqual(received, ['b']);
+});
+
 test('a silent connection fails once another one answered', async t => {
   // Guards against connections that stay up but never answer again.
   let silent: Socket | undefined;
--- a/src/target_http/target_connection.ts
+++ b/src/target_http/target_connection.ts
@@ -193,9 +193,11 @@
   private createHandler(attempt: Attempt): Dispatcher.DispatchHandler {
     let response: TargetResponse | undefined;
     return {
-      onRequestStart: () => {
+      onRequestStart: controller => {
         this.bytesReadAtSend = this.socket.bytesRead;
-        attempt.markSent(this.nowMs());
+        if (!attempt.markSent(this.nowMs())) {
+          controller.abort(new Error('cancelled before the first byte'));
+        }
       },
       onResponseStart: (controller, status) => {
         if (status < 200) {
