Join the contracts of engine and recovery

Change: one declaration; the engine fills in the claim's deadline and passes on a peer's cleared implication (an empty list). Conclusion: engine and recovery work on one contract.

--- a/src/engine/claim_flow.ts
+++ b/src/engine/claim_flow.ts
@@ -50,6 +50,7 @@
         attempt: request.caller.attempt,
         claimantId: this.context.options.incarnationId,
         token,
+        deadlineMs: request.deadlineMs,
       },
     });
   }
--- a/src/engine/engine_fixture.ts
+++ b/src/engine/engine_fixture.ts
@@ -148,6 +148,10 @@
     this.crashes.set(fingerprint, targets.add(targetId));
   }
 
+  onPeerCleared(fingerprint: string): void {
+    this.crashes.delete(fingerprint);
+  }
+
   isQuarantined(fingerprint: string): boolean {
     return (this.crashes.get(fingerprint)?.size ?? 0) >= 2;
   }
--- a/src/engine/peer_facts.ts
+++ b/src/engine/peer_facts.ts
@@ -166,6 +166,9 @@
       return;
     }
     const {quarantine} = this.context.options;
+    if (parsed.data.length === 0) {
+      quarantine.onPeerCleared(fingerprint);
+    }
     for (const targetId of parsed.data) {
       quarantine.onPeerImplication(fingerprint, targetId, nowMs);
     }
--- a/src/recovery/types.ts
+++ b/src/recovery/types.ts
@@ -114,9 +114,6 @@
     nowMs: InstantMs,
   ): void;
 
-  /** Clears a fingerprint after a complete response to it. */
-  abstract onAnswered(fingerprint: string, nowMs: InstantMs): void;
-
   /** Takes in that a peer cleared a fingerprint. */
   abstract onPeerCleared(fingerprint: string): void;
 
--- a/src/routing/service_target_pool.ts
+++ b/src/routing/service_target_pool.ts
@@ -5,7 +5,7 @@
  */
 import type {InstantMs, RandomSource} from '../core/index.js';
 import {DrainFlags, HealthTable, type HealthEvent} from '../health/index.js';
-import {longLaneTargets} from '../limits/long_lane.js';
+import {longLaneTargets} from '../limits/index.js';
 import type {KindPreset, ListedVm, ServicePreset} from '../preset/index.js';
 import type {DecayingSum} from './decaying_sum.js';
 import {
