Add the gRPC protocol between VMs

Cause: the daemon needs gossip, claims, hand-over and documents over the wire. Instants cross as remaining or elapsed milliseconds. Undecodable or impossible messages get INVALID_ARGUMENT before the handler sees them. A call that exceeds its deadline closes the channel, because an established connection may never recover; subchannels are not shared for the same reason. Reconnect backoff is 100 to 500 ms. Conclusion: usable by the daemon; cost on the wire is not measured yet.

--- /dev/null
+++ b/src/peer_grpc/peer_client.ts
@@ -0,0 +1,363 @@
+/**
+ * Client side of the protocol between VMs.
+ *
+ * @packageDocumentation
+ */
+import {
+  Client,
+  credentials,
+  status,
+  type ChannelOptions,
+  type ServiceError,
+} from '@grpc/grpc-js';
+import {err, ok, type Result} from 'neverthrow';
+import type {Clock} from '../core/index.js';
+import type {Digest, OwnerDelta, PeerAddress} from '../membership/index.js';
+import type {DocumentName, PublishedDocument} from '../preset/index.js';
+import type {
+  ClaimAnswer,
+  ClaimRecord,
+  ClaimRequest,
+  Settlement,
+} from '../recovery/index.js';
+import {
+  BadMessageError,
+  decodeAnswer,
+  decodeDelta,
+  decodeDigest,
+  decodeDocument,
+  decodeTime,
+  encodeClaim,
+  encodeDelta,
+  encodeDigest,
+  encodeRecord,
+  encodeSettlement,
+} from './codec.js';
+import {formatAddress} from './peer_server.js';
+import {
+  MAX_MESSAGE_BYTES,
+  type ExchangeAnswer,
+  type HandOver,
+  type MessageStamp,
+  type PeerError,
+} from './types.js';
+import {
+  methodOf,
+  type CallName,
+  type RequestOf,
+  type ResponseOf,
+} from './wire.js';
+
+/** Size at which a hand-over continues in a further message, in characters. */
+const HAND_OVER_CHUNK_LENGTH = 512 * 1_024;
+
+/** Size of a record on the wire beyond its texts, in bytes. */
+const RECORD_OVERHEAD_LENGTH = 40;
+
+const CHANNEL_OPTIONS: ChannelOptions = {
+  'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+  'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
+  // A restarted peer is reached again within a second.
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.max_reconnect_backoff_ms': 500,
+  // A claim must not be sent twice without the claimant's knowledge.
+  'grpc.enable_retries': 0,
+  'grpc.enable_http_proxy': 0,
+  'grpc.service_config_disable_resolution': 1,
+  // A new channel must not share the connection of a failed one.
+  'grpc.use_local_subchannel_pool': 1,
+};
+
+/** Options of {@link PeerClient}; times in milliseconds. */
+export interface PeerClientOptions {
+  readonly clock: Clock;
+  readonly stamp: MessageStamp;
+  /** Deadline of exchanges, pushes and settlements, 1,000 by default. */
+  readonly gossipTimeoutMs?: number;
+  /** Deadline of claims unless the request's is earlier, 500 by default. */
+  readonly claimTimeoutMs?: number;
+  /** Deadline of hand-overs and documents, 5,000 by default. */
+  readonly bulkTimeoutMs?: number;
+  /** Channels open at a time, 256 by default; the least used is closed. */
+  readonly maxChannels?: number;
+}
+
+/**
+ * gRPC client for all peers, with one channel for each address.
+ *
+ * A call that exceeds its deadline closes the channel: its connection, or the
+ * attempt to open one, may never recover while a new one would work.
+ *
+ * @example
+ * ```ts
+ * const client = new PeerClient({clock, stamp});
+ * const answer = await client.exchange(peer, membership.digest());
+ * ```
+ */
+export class PeerClient {
+  private readonly clock: Clock;
+  private readonly stamp: MessageStamp;
+  private readonly gossipTimeoutMs: number;
+  private readonly claimTimeoutMs: number;
+  private readonly bulkTimeoutMs: number;
+  private readonly maxChannels: number;
+  /** Ordered by last use. */
+  private readonly channels = new Map<string, Client>();
+
+  /** @param options - see {@link PeerClientOptions} */
+  constructor(options: PeerClientOptions) {
+    this.clock = options.clock;
+    this.stamp = options.stamp;
+    this.gossipTimeoutMs = options.gossipTimeoutMs ?? 1_000;
+    this.claimTimeoutMs = options.claimTimeoutMs ?? 500;
+    this.bulkTimeoutMs = options.bulkTimeoutMs ?? 5_000;
+    this.maxChannels = options.maxChannels ?? 256;
+  }
+
+  /**
+   * Sends the own digest.
+   *
+   * @param peer - address of the callee
+   * @param digest - own digest
+   * @returns the facts that this VM lacks and the callee's digest
+   */
+  async exchange(
+    peer: PeerAddress,
+    digest: Digest,
+  ): Promise<Result<ExchangeAnswer, PeerError>> {
+    const request = {time: this.stamp.next(), digest: encodeDigest(digest)};
+    return this.call('Exchange', peer, request, this.gossipTimeoutMs, reply => {
+      const deltas = reply.deltas.map(decodeDelta);
+      return {deltas, digest: decodeDigest(reply.digest)};
+    });
+  }
+
+  /**
+   * Sends facts.
+   *
+   * @param peer - address of the callee
+   * @param deltas - facts that the callee lacks
+   * @returns nothing, or an error
+   */
+  async push(
+    peer: PeerAddress,
+    deltas: readonly OwnerDelta[],
+  ): Promise<Result<void, PeerError>> {
+    const request = {time: this.stamp.next(), deltas: deltas.map(encodeDelta)};
+    return this.call('Push', peer, request, this.gossipTimeoutMs, noResult);
+  }
+
+  /**
+   * Asks for a claim.
+   *
+   * @param peer - address of the home VM
+   * @param claim - the claim
+   * @returns the answer; `unreachable` if none came
+   */
+  async claim(peer: PeerAddress, claim: ClaimRequest): Promise<ClaimAnswer> {
+    const nowMs = this.clock.nowMs();
+    const remainingMs = claim.deadlineMs - nowMs;
+    const timeoutMs = Math.min(this.claimTimeoutMs, remainingMs);
+    const request = encodeClaim(claim, this.stamp.next(), nowMs);
+    const answer = await this.call('Claim', peer, request, timeoutMs, reply =>
+      decodeAnswer(reply.answer),
+    );
+    return answer.isOk() ? answer.value : {type: 'unreachable'};
+  }
+
+  /**
+   * Settles a claim. May be repeated after an error.
+   *
+   * @param peer - address of the home VM
+   * @param settlement - the verdict
+   * @returns nothing, or an error
+   */
+  async settle(
+    peer: PeerAddress,
+    settlement: Settlement,
+  ): Promise<Result<void, PeerError>> {
+    const request = encodeSettlement(settlement, this.stamp.next());
+    return this.call('Settle', peer, request, this.gossipTimeoutMs, noResult);
+  }
+
+  /**
+   * Hands records over, in as many messages as needed.
+   *
+   * @param peer - address of the next home
+   * @param handOver - the records
+   * @returns nothing once all were acknowledged, or the first error
+   */
+  async handOver(
+    peer: PeerAddress,
+    handOver: HandOver,
+  ): Promise<Result<void, PeerError>> {
+    const nowMs = this.clock.nowMs();
+    const {lastEvictionMs} = handOver;
+    const eviction =
+      lastEvictionMs === undefined
+        ? {}
+        : {evictionElapsedMs: nowMs - lastEvictionMs};
+    for (const chunk of chunksOf(handOver.records)) {
+      const sentMs = this.clock.nowMs();
+      const records = chunk.map(record => encodeRecord(record, sentMs));
+      const request = {time: this.stamp.next(), records, ...eviction};
+      const timeoutMs = this.bulkTimeoutMs;
+      const result = await this.call(
+        'HandOver',
+        peer,
+        request,
+        timeoutMs,
+        noResult,
+      );
+      if (result.isErr()) {
+        return result;
+      }
+    }
+    return ok(undefined);
+  }
+
+  /**
+   * Fetches a document.
+   *
+   * @param peer - address of the callee
+   * @param name - name of the document
+   * @returns the document; undefined if the callee has none
+   */
+  async fetchDocument(
+    peer: PeerAddress,
+    name: DocumentName,
+  ): Promise<Result<PublishedDocument | undefined, PeerError>> {
+    const request = {time: this.stamp.next(), name};
+    const timeoutMs = this.bulkTimeoutMs;
+    return this.call('FetchDocument', peer, request, timeoutMs, reply =>
+      reply.document ? decodeDocument(name, reply.document) : undefined,
+    );
+  }
+
+  /** Closes the channel to a peer that left; calls in progress may finish. */
+  drop(peer: PeerAddress): void {
+    this.dropChannel(formatAddress(peer.host, peer.port));
+  }
+
+  /** Closes all channels. */
+  close(): void {
+    [...this.channels.keys()].forEach(address => this.dropChannel(address));
+  }
+
+  /** Number of open channels, for metrics. */
+  channelCount(): number {
+    return this.channels.size;
+  }
+
+  private async call<N extends CallName, T>(
+    name: N,
+    peer: PeerAddress,
+    request: RequestOf<N>,
+    timeoutMs: number,
+    decode: (reply: ResponseOf<N>) => T,
+  ): Promise<Result<T, PeerError>> {
+    const address = formatAddress(peer.host, peer.port);
+    const channel = this.channelTo(address);
+    try {
+      const reply = await send(channel, name, request, timeoutMs);
+      const sentAt = decodeTime(reply.time);
+      const result = decode(reply);
+      this.stamp.observe(sentAt);
+      return ok(result);
+    } catch (error) {
+      const failure = failureOf(error, address);
+      const isCurrent = this.channels.get(address) === channel;
+      if (failure.type === 'deadline' && isCurrent) {
+        this.dropChannel(address);
+      }
+      return err(failure);
+    }
+  }
+
+  private channelTo(address: string): Client {
+    const channel =
+      this.channels.get(address) ??
+      new Client(address, credentials.createInsecure(), CHANNEL_OPTIONS);
+    this.channels.delete(address);
+    this.channels.set(address, channel);
+    const [leastUsed] = this.channels.keys();
+    if (this.channels.size > this.maxChannels && leastUsed !== undefined) {
+      this.dropChannel(leastUsed);
+    }
+    return channel;
+  }
+
+  private dropChannel(address: string): void {
+    this.channels.get(address)?.close();
+    this.channels.delete(address);
+  }
+}
+
+function send<N extends CallName>(
+  channel: Client,
+  name: N,
+  request: RequestOf<N>,
+  timeoutMs: number,
+): Promise<ResponseOf<N>> {
+  const {path, requestSerialize, responseDeserialize} = methodOf(name);
+  // gRPC takes the deadline as wall-clock time of this process.
+  const deadline = new Date(Date.now() + Math.max(timeoutMs, 0));
+  return new Promise((resolve, reject) => {
+    channel.makeUnaryRequest(
+      path,
+      requestSerialize,
+      responseDeserialize,
+      request,
+      {deadline},
+      (error, reply) => {
+        if (error !== null || reply === undefined) {
+          reject(error ?? new Error('the reply is empty'));
+        } else {
+          resolve(reply);
+        }
+      },
+    );
+  });
+}
+
+function failureOf(error: unknown, address: string): PeerError {
+  const message = `call to ${address}: ${(error as Error).message}`;
+  if (error instanceof BadMessageError) {
+    return {type: 'failed', message};
+  }
+  switch ((error as Partial<ServiceError>).code) {
+    case status.DEADLINE_EXCEEDED:
+      return {type: 'deadline', message};
+    case status.UNAVAILABLE:
+      return {type: 'unreachable', message};
+    case status.INVALID_ARGUMENT:
+      return {type: 'rejected', message};
+    default:
+      return {type: 'failed', message};
+  }
+}
+
+function* chunksOf(
+  records: readonly ClaimRecord[],
+): Generator<readonly ClaimRecord[]> {
+  let chunk: ClaimRecord[] = [];
+  let length = 0;
+  for (const record of records) {
+    const {key, fingerprint, claimantId, token} = record;
+    const texts = [key, fingerprint, claimantId, token];
+    length += texts.join('').length + RECORD_OVERHEAD_LENGTH;
+    chunk.push(record);
+    if (length >= HAND_OVER_CHUNK_LENGTH) {
+      yield chunk;
+      chunk = [];
+      length = 0;
+    }
+  }
+  if (chunk.length > 0) {
+    yield chunk;
+  }
+}
+
+function noResult(): void {
+  // The reply carries nothing but its stamp.
+}
--- /dev/null
+++ b/src/peer_grpc/types.ts
@@ -0,0 +1,63 @@
+/**
+ * Contracts of the protocol between VMs.
+ *
+ * @packageDocumentation
+ */
+import type {InstantMs} from '../core/index.js';
+import type {Digest, OwnerDelta} from '../membership/index.js';
+import type {DocumentName, PublishedDocument} from '../preset/index.js';
+import type {
+  ClaimAnswer,
+  ClaimRecord,
+  ClaimRequest,
+  Settlement,
+} from '../recovery/index.js';
+import type {HybridTime} from '../timeline/index.js';
+
+/** Largest message, in bytes; documents are at most half of it. */
+export const MAX_MESSAGE_BYTES = 2 * 1_024 * 1_024;
+
+/** Answer to an exchange. */
+export interface ExchangeAnswer {
+  /** Facts that the caller lacks. */
+  readonly deltas: readonly OwnerDelta[];
+  /** Digest of the callee. */
+  readonly digest: Digest;
+}
+
+/** Records of a VM that stops. */
+export interface HandOver {
+  readonly records: readonly ClaimRecord[];
+  /** Instant at which the sender last dropped a record early. */
+  readonly lastEvictionMs: InstantMs | undefined;
+}
+
+/** Why a call failed. The callee may have carried it out nevertheless. */
+export interface PeerError {
+  readonly type: 'deadline' | 'unreachable' | 'rejected' | 'failed';
+  readonly message: string;
+}
+
+/** Hybrid clock of the process, stamped on each message. */
+export abstract class MessageStamp {
+  /** Stamp for a message that is sent. */
+  abstract next(): HybridTime;
+
+  /** Takes in the stamp of a message that arrived. */
+  abstract observe(time: HybridTime): void;
+}
+
+/**
+ * Answers calls of peers. Arguments are validated, and instants in them are
+ * instants of the own clock.
+ */
+export abstract class PeerHandler {
+  abstract exchange(digest: Digest): ExchangeAnswer | Promise<ExchangeAnswer>;
+  abstract push(deltas: readonly OwnerDelta[]): void | Promise<void>;
+  abstract claim(request: ClaimRequest): ClaimAnswer | Promise<ClaimAnswer>;
+  abstract settle(settlement: Settlement): void | Promise<void>;
+  abstract handOver(handOver: HandOver): void | Promise<void>;
+  abstract fetchDocument(
+    name: DocumentName,
+  ): PublishedDocument | undefined | Promise<PublishedDocument | undefined>;
+}
--- /dev/null
+++ b/src/peer_grpc/wire.ts
@@ -0,0 +1,207 @@
+/**
+ * Messages as protobuf objects, and the service definition.
+ *
+ * @packageDocumentation
+ */
+import type {MethodDefinition, ServiceDefinition} from '@grpc/grpc-js';
+import {loadSync} from '@grpc/proto-loader';
+import {fileURLToPath} from 'node:url';
+
+/** @internal */
+export interface WireTime {
+  readonly wallMs: number;
+  readonly counter: number;
+}
+
+/** @internal */
+export interface WireDigest {
+  readonly ownerIds: readonly string[];
+  readonly sequences: readonly number[];
+}
+
+/** @internal */
+export interface WireDelta {
+  readonly ownerId: string;
+  readonly afterSequence: number;
+  readonly collectedSequence: number;
+  readonly keys: readonly string[];
+  readonly values: readonly string[];
+  readonly sequenceSteps: readonly number[];
+}
+
+/** @internal */
+export type WireState =
+  | 'RECORD_STATE_UNSPECIFIED'
+  | 'RECORD_CLAIMED'
+  | 'RECORD_NOT_RUN'
+  | 'RECORD_RAN'
+  | 'RECORD_MAY_HAVE_RUN';
+
+/** @internal */
+export interface WireRecord {
+  readonly key: string;
+  readonly fingerprint: string;
+  readonly claimantId: string;
+  readonly token: string;
+  readonly state: WireState;
+  readonly remainingMs: number;
+  readonly expiresInMs: number;
+}
+
+/** @internal */
+export type WireAnswer =
+  | 'CLAIM_ANSWER_UNSPECIFIED'
+  | 'GRANTED'
+  | 'RAN'
+  | 'RUNNING'
+  | 'MAY_HAVE_RUN'
+  | 'MISMATCH'
+  | 'NOT_HOME';
+
+/** @internal */
+export interface Stamped {
+  readonly time: WireTime | null;
+}
+
+/** @internal */
+export interface WireExchangeRequest extends Stamped {
+  readonly digest: WireDigest | null;
+}
+
+/** @internal */
+export interface WireExchangeResponse extends Stamped {
+  readonly digest: WireDigest | null;
+  readonly deltas: readonly WireDelta[];
+}
+
+/** @internal */
+export interface WirePushRequest extends Stamped {
+  readonly deltas: readonly WireDelta[];
+}
+
+/** @internal */
+export interface WireClaimRequest extends Stamped {
+  readonly key: string;
+  readonly fingerprint: string;
+  readonly attempt?: number;
+  readonly claimantId: string;
+  readonly token: string;
+  readonly remainingMs: number;
+}
+
+/** @internal */
+export interface WireClaimResponse extends Stamped {
+  readonly answer: WireAnswer;
+}
+
+/** @internal */
+export interface WireSettleRequest extends Stamped {
+  readonly key: string;
+  readonly claimantId: string;
+  readonly token: string;
+  readonly verdict: WireState;
+}
+
+/** @internal */
+export interface WireHandOverRequest extends Stamped {
+  readonly records: readonly WireRecord[];
+  readonly evictionElapsedMs?: number;
+}
+
+/** @internal */
+export interface WireFetchRequest extends Stamped {
+  readonly name: string;
+}
+
+/** @internal */
+export interface WireDocument {
+  readonly revision: number;
+  readonly platformVersion: number;
+  readonly sha256: string;
+  readonly body: string;
+}
+
+/** @internal */
+export interface WireFetchResponse extends Stamped {
+  readonly document?: WireDocument;
+}
+
+/** Messages of each call. @internal */
+export interface WireCalls {
+  readonly Exchange: [WireExchangeRequest, WireExchangeResponse];
+  readonly Push: [WirePushRequest, Stamped];
+  readonly Claim: [WireClaimRequest, WireClaimResponse];
+  readonly Settle: [WireSettleRequest, Stamped];
+  readonly HandOver: [WireHandOverRequest, Stamped];
+  readonly FetchDocument: [WireFetchRequest, WireFetchResponse];
+}
+
+/** @internal */
+export type CallName = keyof WireCalls;
+
+/** @internal */
+export type RequestOf<N extends CallName> = WireCalls[N][0];
+
+/** @internal */
+export type ResponseOf<N extends CallName> = WireCalls[N][1];
+
+/** @internal */
+export const CALL_NAMES: readonly CallName[] = [
+  'Exchange',
+  'Push',
+  'Claim',
+  'Settle',
+  'HandOver',
+  'FetchDocument',
+];
+
+/** Marks a request whose bytes are not a valid message. @internal */
+export class MalformedRequest {
+  /** @param reason - what the decoder reported */
+  constructor(readonly reason: string) {}
+}
+
+const definitions = loadSync(
+  fileURLToPath(new URL('./peer.proto', import.meta.url)),
+  {longs: Number, enums: String, defaults: true, arrays: true},
+);
+
+/** Service definition of the protocol. @internal */
+export const PEER_SERVICE = definitions[
+  'sycamorepitch.peer.v1.Peer'
+] as ServiceDefinition;
+
+/**
+ * Definition of one call.
+ *
+ * @internal
+ */
+export function methodOf<N extends CallName>(
+  name: N,
+): MethodDefinition<RequestOf<N>, ResponseOf<N>> {
+  return PEER_SERVICE[name] as unknown as MethodDefinition<
+    RequestOf<N>,
+    ResponseOf<N>
+  >;
+}
+
+/**
+ * Service definition whose decoder returns {@link MalformedRequest} instead of
+ * throwing, so that the server answers INVALID_ARGUMENT.
+ *
+ * @internal
+ */
+export function lenientService(): ServiceDefinition {
+  const entries = CALL_NAMES.map(name => {
+    const method = methodOf(name) as MethodDefinition<unknown, unknown>;
+    const requestDeserialize = (bytes: Buffer): unknown => {
+      try {
+        return method.requestDeserialize(bytes);
+      } catch (error) {
+        return new MalformedRequest(String(error));
+      }
+    };
+    return [name, {...method, requestDeserialize}];
+  });
+  return Object.fromEntries(entries) as ServiceDefinition;
+}
