--- /dev/null
+++ b/src/timeline/merge_events.ts
@@ -0,0 +1,33 @@
+/**
+ * Merge of the events of several VMs.
+ *
+ * @packageDocumentation
+ */
+import {compareTimes} from './hybrid_clock.js';
+import type {TimelineEvent} from './types.js';
+
+/**
+ * Merges the events of several VMs by (clock, VM id). Events of one VM with
+ * equal stamps keep their order.
+ *
+ * @param lists - events by VM, in any order
+ * @returns all events, earliest first
+ *
+ * @example
+ * ```ts
+ * const events = mergeEvents([ringOfA.events(), ringOfB.events()]);
+ * ```
+ */
+export function mergeEvents(
+  lists: readonly (readonly TimelineEvent[])[],
+): readonly TimelineEvent[] {
+  return lists.flat().sort(compareEvents);
+}
+
+function compareEvents(a: TimelineEvent, b: TimelineEvent): number {
+  const byTime = compareTimes(a.time, b.time);
+  if (byTime !== 0 || a.vmId === b.vmId) {
+    return byTime;
+  }
+  return a.vmId < b.vmId ? -1 : 1;
+}
