Bound the cost of errors in documents

Cause: a trial with hostile documents of up to 1 MB found two stalls of the event loop: 100,000 duplicate keys took 44.5 s (the line of each error is searched), and a path prefix of 900,000 slashes did not end within a minute (quadratic regular expression). Each offer also parsed the body twice. Change: at most 200 bad keys are listed, path prefixes have at most 256 characters and are trimmed by a loop, and the revision is read by a scan that stops at it instead of by a full parse.

--- a/src/preset/document_store.ts
+++ b/src/preset/document_store.ts
@@ -26,7 +26,7 @@
   PublishedDocument,
   VmListDocument,
 } from './types.js';
-import {compareVersions, hashBody, readRevision} from './version.js';
+import {compareVersions, hashBody} from './version.js';
 
 /** Versions remembered in each of the lists of the status page. */
 const MAX_REMEMBERED_VERSIONS = 16;
@@ -103,12 +103,14 @@
   private superseded: readonly DocumentVersion[] = [];
 
   /**
-   * @param options - `name`: name of the document; `parse`: its parser
+   * @param options - `name`: name of the document; `parse`: its parser;
+   *     `revisionOf`: revision of a parsed document
    */
   constructor(
     private readonly options: {
       readonly name: DocumentName;
       readonly parse: (body: string) => Result<T, DocumentError>;
+      revisionOf(document: T): number;
     },
   ) {}
 
@@ -149,11 +151,11 @@
     if (current !== undefined && compareVersions(version, current) === 0) {
       return {type: 'unchanged'};
     }
-    const mismatch = this.findMismatch(published);
+    const sha256 = hashBody(published.body);
+    const mismatch = this.findMismatch(published, sha256);
     if (mismatch !== undefined) {
       // The entry is filed under the real hash: the true body of the stated
       // version may still arrive and must not count as refused.
-      const sha256 = hashBody(published.body);
       return this.refuse('invalid', {...version, sha256}, mismatch, []);
     }
     const parsed = this.options.parse(published.body);
@@ -161,6 +163,11 @@
       const {issues} = parsed.error;
       return this.refuse('invalid', version, summarize(issues), issues);
     }
+    const revision = this.options.revisionOf(parsed.value);
+    if (revision !== version.revision) {
+      const reason = `the body has revision ${revision}, its source stated ${version.revision}`;
+      return this.refuse('invalid', version, reason, []);
+    }
     if (current === undefined || compareVersions(version, current) > 0) {
       return this.adopt(published, parsed.value, nowMs);
     }
@@ -186,19 +193,16 @@
   }
 
   /** Difference between the stated version and the body, in words. */
-  private findMismatch(published: PublishedDocument): string | undefined {
-    const {name, version, body} = published;
+  private findMismatch(
+    {name, version}: PublishedDocument,
+    sha256: string,
+  ): string | undefined {
     if (name !== this.options.name) {
       return `a document named ${name}, expected ${this.options.name}`;
     }
-    const sha256 = hashBody(body);
-    if (sha256 !== version.sha256) {
-      return `the body has hash ${sha256}, its source stated ${version.sha256}`;
-    }
-    const revision = name === 'config' ? readRevision(body) : 0;
-    return revision === version.revision
+    return sha256 === version.sha256
       ? undefined
-      : `the body has revision ${revision}, its source stated ${version.revision}`;
+      : `the body has hash ${sha256}, its source stated ${version.sha256}`;
   }
 
   /** Replaces the document in use by a greater version. */
@@ -287,7 +291,11 @@
  * ```
  */
 export function createConfigStore(): DocumentStore<ConfigDocument> {
-  return new DocumentStore({name: 'config', parse: parseConfigDocument});
+  return new DocumentStore({
+    name: 'config',
+    parse: parseConfigDocument,
+    revisionOf: document => document.revision,
+  });
 }
 
 /**
@@ -301,7 +309,11 @@
  * ```
  */
 export function createVmListStore(): DocumentStore<VmListDocument> {
-  return new DocumentStore({name: 'vms', parse: parseVmListDocument});
+  return new DocumentStore({
+    name: 'vms',
+    parse: parseVmListDocument,
+    revisionOf: () => 0,
+  });
 }
 
 /** Adds a version to a list, without duplicates; the greatest are kept. */
--- a/src/preset/document_store_test.ts
+++ b/src/preset/document_store_test.ts
@@ -145,6 +145,16 @@
   assert.match(store.status(0).refused[0]?.reason ?? '', /lower revision 8/);
 });
 
+test('the revision is read from a malformed document', () => {
+  // Guards against a refusal that names no revision to look for.
+  const revisionOf = (body: string): number =>
+    publishedDocument('config', 1, body).version.revision;
+  assert.equal(revisionOf('{"a": {"revision": 1}, "revision": 7, '), 7);
+  assert.equal(revisionOf('{"revision": "7"}'), 0);
+  assert.equal(revisionOf('{"revision": 1e400}'), 0);
+  assert.equal(revisionOf('["revision", 7]'), 0);
+});
+
 test('the platform version alone orders lists of VMs', () => {
   // Guards against a list that reports rivals or waits for a revision.
   const store = createVmListStore();
--- a/src/preset/jsonc_text.ts
+++ b/src/preset/jsonc_text.ts
@@ -26,6 +26,12 @@
 /** Most syntax errors reported for one text; later ones are consequences. */
 const MAX_SYNTAX_ISSUES = 20;
 
+/**
+ * Most bad keys reported for one text. Finding a line takes time in proportion
+ * to the text: 100,000 duplicate keys once took 44 s.
+ */
+const MAX_TEXT_ISSUES = 200;
+
 /** Path of a value: keys and array indexes. */
 export type ValuePath = readonly (string | number)[];
 
@@ -103,7 +109,7 @@
   if (root === undefined || errors.length > 0) {
     return err(syntaxIssues(text, errors));
   }
-  const keyIssues = findBadKeys(text, root, []);
+  const keyIssues = findBadKeys(text, root);
   if (keyIssues.length > 0) {
     return err(keyIssues);
   }
@@ -130,6 +136,49 @@
   return text;
 }
 
+/**
+ * Finds a number at the top level of a text that may be malformed. Stops at
+ * the number, so it costs little when the key comes first.
+ *
+ * @param text - text in JSON with comments
+ * @param key - key of the outermost object
+ * @returns the number; undefined if there is none
+ */
+export function findTopLevelNumber(
+  text: string,
+  key: string,
+): number | undefined {
+  const scanner = createScanner(text, true);
+  const quotedKey = JSON.stringify(key);
+  let depth = 0;
+  for (;;) {
+    switch (scanner.scan()) {
+      case SyntaxKind.EOF:
+        return undefined;
+      case SyntaxKind.OpenBraceToken:
+      case SyntaxKind.OpenBracketToken:
+        depth++;
+        break;
+      case SyntaxKind.CloseBraceToken:
+      case SyntaxKind.CloseBracketToken:
+        depth--;
+        break;
+      case SyntaxKind.StringLiteral:
+        if (
+          depth === 1 &&
+          text.startsWith(quotedKey, scanner.getTokenOffset()) &&
+          scanner.scan() === SyntaxKind.ColonToken &&
+          scanner.scan() === SyntaxKind.NumericLiteral
+        ) {
+          return Number(scanner.getTokenValue());
+        }
+        break;
+      default:
+        break;
+    }
+  }
+}
+
 /** Offset at which the nesting exceeds the limit. */
 function findDeepNesting(text: string): number | undefined {
   const scanner = createScanner(text, true);
@@ -175,37 +224,36 @@
 }
 
 /** Finds duplicate keys and `__proto__`, which plain objects cannot hold. */
-function findBadKeys(
-  text: string,
-  node: Node,
-  path: ValuePath,
-): readonly InputIssue[] {
+function findBadKeys(text: string, root: Node): readonly InputIssue[] {
   const issues: InputIssue[] = [];
-  const children = node.children ?? [];
-  if (node.type === 'array') {
-    children.forEach((child, index) => {
-      issues.push(...findBadKeys(text, child, [...path, index]));
-    });
-    return issues;
-  }
-  const seen = new Set<string>();
-  for (const property of children) {
-    const [keyNode, valueNode] = property.children ?? [];
-    const key = String(keyNode?.value);
-    const keyPath = [...path, key];
-    if (seen.has(key) || key === '__proto__') {
-      issues.push({
-        path: formatPath(keyPath),
-        line: lineAt(text, property.offset),
-        value: JSON.stringify(key),
-        expected: seen.has(key) ? 'each key once' : 'another key',
-      });
-    }
-    seen.add(key);
-    if (valueNode !== undefined) {
-      issues.push(...findBadKeys(text, valueNode, keyPath));
+  const visit = (node: Node, path: ValuePath): void => {
+    const seen = new Set<string>();
+    for (const [index, child] of (node.children ?? []).entries()) {
+      if (issues.length >= MAX_TEXT_ISSUES) {
+        return;
+      }
+      if (node.type === 'array') {
+        visit(child, [...path, index]);
+        continue;
+      }
+      const [keyNode, valueNode] = child.children ?? [];
+      const key = String(keyNode?.value);
+      const keyPath = [...path, key];
+      if (seen.has(key) || key === '__proto__') {
+        issues.push({
+          path: formatPath(keyPath),
+          line: lineAt(text, child.offset),
+          value: JSON.stringify(key),
+          expected: seen.has(key) ? 'each key once' : 'another key',
+        });
+      }
+      seen.add(key);
+      if (valueNode !== undefined) {
+        visit(valueNode, keyPath);
+      }
     }
-  }
+  };
+  visit(root, []);
   return issues;
 }
 
--- a/src/preset/parse_config.ts
+++ b/src/preset/parse_config.ts
@@ -51,8 +51,8 @@
 const kindSchema = closedObject({
   method: oneOf(METHODS),
   pathPrefix: textLike(
-    /^\/[!$&-;=@-Z_a-z~%]*$/,
-    'a path that starts with a slash, without query',
+    /^\/[!$&-;=@-Z_a-z~%]{0,255}$/,
+    'a path of up to 256 characters that starts with a slash, without query',
   ),
   idempotent: flag(),
   urgent: flag().default(false),
@@ -124,7 +124,13 @@
  * @returns the normal form; empty for `/`
  */
 export function normalizePrefix(prefix: string): string {
-  return prefix.replace(/\/+$/, '');
+  // A loop, because a regular expression takes quadratic time on long runs of
+  // slashes.
+  let end = prefix.length;
+  while (prefix[end - 1] === '/') {
+    end--;
+  }
+  return prefix.slice(0, end);
 }
 
 /** `inForce` must name a preset. */
--- a/src/preset/version.ts
+++ b/src/preset/version.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import {createHash} from 'node:crypto';
-import {parseJsonc} from './jsonc_text.js';
+import {findTopLevelNumber} from './jsonc_text.js';
 import type {
   DocumentName,
   DocumentVersion,
@@ -82,12 +82,7 @@
  * @param body - text of the document
  * @returns the revision, 0 if none can be read
  */
-export function readRevision(body: string): number {
-  return parseJsonc(body)
-    .map(parsed => {
-      const value = parsed.value as {revision?: unknown} | null;
-      const revision = value?.revision;
-      return Number.isSafeInteger(revision) ? Number(revision) : 0;
-    })
-    .unwrapOr(0);
+function readRevision(body: string): number {
+  const revision = findTopLevelNumber(body, 'revision') ?? 0;
+  return Number.isSafeInteger(revision) ? revision : 0;
 }
