--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -60,9 +60,16 @@
 
 /** Step of an attempt, reported by the target adapter. */
 export type AttemptSignal =
-  /** A connection is ready and the first byte is about to be written. */
+  /**
+   * A connection is ready and the first byte is about to be written. If the
+   * returned effects hold a `cancel` of the token, no byte may be written: the
+   * deadline has passed or the attempt has ended.
+   */
   | {readonly type: 'sent'}
-  /** The complete response arrived. */
+  /**
+   * The complete response arrived, or exceeded the buffer and is streamed to
+   * the caller from now on. Signals after it are ignored.
+   */
   | {
       readonly type: 'response';
       readonly status: number;
@@ -75,7 +82,16 @@
   /** No connection could be opened; no byte left. */
   | {readonly type: 'unreachable'}
   /** The connection broke after `sent`, also within the response. */
-  | {readonly type: 'lost'; readonly crashed: boolean}
+  | {
+      readonly type: 'lost';
+      /** A new connection to the target is refused. */
+      readonly crashed: boolean;
+      /**
+       * The adapter gave up the connection because it was silent while others
+       * answered. Counts against the connection, not against the target.
+       */
+      readonly silent?: boolean;
+    }
   /** Cancelled as the engine asked. */
   | {readonly type: 'cancelled'; readonly bytesSent: boolean};
 
@@ -92,6 +108,12 @@
       readonly freshness: 'any' | 'proven';
       /** Greatest number of connections to the target. */
       readonly maxConnections: number;
+      /**
+       * Time without a byte of the response after which an old connection
+       * counts as failed if another one to the target answered meanwhile;
+       * undefined while the service time of the kind is unknown.
+       */
+      readonly silenceLimitMs: number | undefined;
       readonly deadlineMs: InstantMs;
     }
   | {readonly type: 'cancel'; readonly token: string}
@@ -116,6 +138,8 @@
       readonly targetId: string;
       readonly host: string;
       readonly port: number;
+      /** Greatest number of connections to the target. */
+      readonly maxConnections: number;
     }
   | {readonly type: 'publish'; readonly key: string; readonly value: string}
   | {
