Add the daemon, the operator port and a fleet on loopback

Cause: the modules need a process that wires them, and operators need ready, status, timeline and metrics pages.

Conclusion: the whole path runs in separate processes for one VM; peers follow.

--- /dev/null
+++ b/bench/request_path.sh
@@ -0,0 +1,55 @@
+#!/usr/bin/env bash
+# Compares the request path of the daemon with direct calls and plain proxies.
+# Usage: bench/request_path.sh [seed] [requests per second] [seconds] [rounds]
+# Needs a build (npm run build). With DAEMON=0 the daemon is left out.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+seed=${1:-1} rate=${2:-500} seconds=${3:-5} rounds=${4:-3}
+base=${BENCH_PORT:-18400}
+program=dist/bench/request_path.js
+folder=$(mktemp -d)
+pids=()
+stop() {
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+  rm -rf "$folder"
+}
+trap stop EXIT
+start() { "$@" >"$folder/$((${#pids[@]})).log" 2>&1 & pids+=($!); }
+
+target=$((base)) http=$((base + 1)) undici=$((base + 2)) restify=$((base + 3))
+start node "$program" target "$target"
+start node "$program" http-http "$http" "$target"
+start node "$program" http-undici "$undici" "$target"
+start node "$program" restify-undici "$restify" "$target"
+variants=(direct="$target" http-http="$http" http-undici="$undici" restify-undici="$restify")
+if [ "${DAEMON:-1}" = 1 ]; then
+  platform=$((base + 4)) caller=$((base + 5)) operator=$((base + 6)) peer=$((base + 7))
+  cat >"$folder/config.json" <<JSON
+{"revision": 1, "inForce": "bench", "presets": {"bench": {"vmCeiling": 1, "services": {"bench": {
+  "slotsPerTarget": 64, "connectionsPerTarget": 64, "probeBudgetPerSecond": 10, "routing": "estimated-load",
+  "longLaneShare": 0.5, "maxEjectedShare": 0.3, "retryBudgetShare": 0.1, "queueCapacity": 256, "slowStartMs": 0,
+  "kinds": {"price": {"method": "GET", "pathPrefix": "/price", "idempotent": true, "urgent": false,
+    "long": false, "worth": 1, "timeoutMs": 2000}}}}}}}
+JSON
+  cat >"$folder/vms.json" <<JSON
+{"vms": [
+  {"id": "e-01", "role": "entry", "host": "127.0.0.1", "port": $peer, "failureDomain": "a", "state": "live"},
+  {"id": "t-01", "role": "target", "service": "bench", "host": "127.0.0.1", "port": $target, "failureDomain": "a", "state": "live"}
+]}
+JSON
+  cat >"$folder/settings.json" <<JSON
+{"vmId": "e-01", "failureDomain": "a", "caller": {"host": "127.0.0.1", "port": $caller},
+ "operator": {"host": "127.0.0.1", "port": $operator}, "peer": {"host": "127.0.0.1", "port": $peer},
+ "platformUrls": ["http://127.0.0.1:$platform"], "leaveDelayMs": 0, "logLevel": "warn"}
+JSON
+  start node dist/src/standins/platform_main.js --port "$platform" --config "$folder/config.json" --vms "$folder/vms.json"
+  start node dist/src/daemon/main.js "$folder/settings.json"
+  for _ in $(seq 100); do
+    curl -sf "http://127.0.0.1:$operator/readyz" >/dev/null && break
+    sleep 0.1
+  done
+  variants+=(daemon="$caller")
+fi
+sleep 1
+node "$program" load "$seed" "$rate" "$seconds" "$rounds" "${variants[@]}"
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,353 @@
+/**
+ * The daemon of one entry VM: start, periodic work and planned shutdown.
+ *
+ * @packageDocumentation
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {CallerServer} from '../caller_http/index.js';
+import {PauseDetector, type Clock, type RandomSource} from '../core/index.js';
+import type {RequestEngine} from '../engine/index.js';
+import type {Membership} from '../membership/index.js';
+import type {OperatorServer, OperatorView} from '../operator_http/index.js';
+import type {PlatformReader} from '../platform_http/index.js';
+import type {
+  ConfigDocument,
+  DocumentStore,
+  VmListDocument,
+  VmStatus,
+  VmTimeline,
+} from '../preset/index.js';
+import type {ClaimBook, HomeVm} from '../recovery/index.js';
+import type {DaemonSettings} from '../settings/index.js';
+import type {TargetClient} from '../target_http/index.js';
+import type {ClaimRouter} from './claim_router.js';
+import type {ComponentLog} from './component_log.js';
+import type {DaemonMetrics} from './daemon_metrics.js';
+import type {DocumentExchange, DocumentListener} from './document_exchange.js';
+import type {EffectRunner} from './effect_runner.js';
+import type {EventLog} from './event_log.js';
+import type {PeerTransport} from './peer_transport.js';
+
+/** Interval of the engine's ticks. */
+const TICK_MS = 10;
+
+/** A gap between ticks that is longer counts as a pause of this process. */
+const MAX_TICK_GAP_MS = 250;
+
+/** Ticks between two checks for silent connections. */
+const CONNECTION_CHECK_TICKS = 5;
+
+/** Interval of gossip rounds. */
+const GOSSIP_MS = 250;
+
+/** Interval at which expired claim records are dropped. */
+const HOUSEKEEPING_MS = 1_000;
+
+/** Rounds in which the departure is announced before the process ends. */
+const FAREWELL_ROUNDS = 4;
+
+/** Interval at which a planned shutdown looks for open requests. */
+const SHUTDOWN_POLL_MS = 20;
+
+/** The parts of a daemon. */
+export interface DaemonParts {
+  readonly settings: DaemonSettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly engine: RequestEngine;
+  readonly membership: Membership;
+  readonly home: HomeVm;
+  readonly book: ClaimBook;
+  readonly transport: PeerTransport;
+  readonly configStore: DocumentStore<ConfigDocument>;
+  readonly vmListStore: DocumentStore<VmListDocument>;
+  readonly documents: DocumentExchange;
+  readonly reader: PlatformReader;
+  readonly claims: ClaimRouter;
+  readonly runner: EffectRunner;
+  readonly targets: TargetClient;
+  readonly callers: CallerServer;
+  readonly createOperator: (view: OperatorView) => OperatorServer;
+  readonly metrics: DaemonMetrics;
+  readonly events: EventLog;
+  readonly log: ComponentLog;
+}
+
+type Lifecycle = 'starting' | 'ready' | 'leaving';
+
+/** Runs the parts and decides on the lifecycle of the VM. */
+export class Daemon implements OperatorView, DocumentListener {
+  private readonly pauses = new PauseDetector({maxGapMs: MAX_TICK_GAP_MS});
+  private readonly operator: OperatorServer;
+  private timers: NodeJS.Timeout[] = [];
+  private state: Lifecycle = 'starting';
+  private tickCount = 0;
+  private lastView = '';
+  private exchanging = false;
+  private shutdownDone: Promise<void> | undefined;
+
+  /** @param parts - the parts, not started yet */
+  constructor(private readonly parts: DaemonParts) {
+    this.operator = parts.createOperator(this);
+  }
+
+  /**
+   * Opens the ports and starts the periodic work.
+   *
+   * @throws the error of `listen`, for example when a port is in use
+   */
+  async start(): Promise<void> {
+    const {settings, callers, documents, reader, membership} = this.parts;
+    documents.attach(this, reader);
+    membership.addContacts(settings.seeds);
+    this.parts.metrics.observe({
+      inFlight: () => this.parts.engine.inFlightCount(),
+      targetConnections: () => this.parts.targets.connectionCount,
+      members: () => membership.members().length,
+      claimRecords: () => this.parts.book.summary().recordCount,
+    });
+    const operatorPort = await this.operator.listen(settings.operator);
+    const callerPort = await callers.listen(settings.caller);
+    this.every(TICK_MS, () => this.tick());
+    this.every(GOSSIP_MS, () => this.gossip());
+    this.every(HOUSEKEEPING_MS, () => this.keepHouse());
+    this.refreshView();
+    this.parts.log.info(
+      `VM ${settings.vmId} listens, callers on port ${callerPort}, operators on port ${operatorPort}`,
+    );
+  }
+
+  /**
+   * Planned shutdown: not ready, wait, finish open requests, hand records
+   * over, announce the departure. A second call joins the first.
+   *
+   * @returns when all is done
+   */
+  shutDown(): Promise<void> {
+    this.shutdownDone ??= this.runShutdown();
+    return this.shutdownDone;
+  }
+
+  /** Makes the preset in force the active one. */
+  onConfig(document: ConfigDocument): void {
+    const preset = document.presets.get(document.inForce);
+    if (preset === undefined) {
+      return;
+    }
+    this.parts.metrics.setServices(preset.services.keys());
+    const {runner, engine} = this.parts;
+    runner.feed(nowMs => engine.applyPreset(preset, nowMs));
+    this.becomeReady();
+  }
+
+  /** Takes over the list of targets and the addresses of entry VMs. */
+  onVmList(document: VmListDocument): void {
+    const {membership, runner, engine} = this.parts;
+    membership.addContacts(document.vms.filter(vm => vm.role === 'entry'));
+    runner.feed(nowMs => engine.applyVmList(document, nowMs));
+    this.becomeReady();
+  }
+
+  isReady(): boolean {
+    return this.state === 'ready';
+  }
+
+  status(): VmStatus {
+    const {membership, settings, clock, engine, claims, book} = this.parts;
+    const {configStore, vmListStore, reader} = this.parts;
+    const nowMs = clock.nowMs();
+    const inForce = configStore.adopted?.document.inForce ?? null;
+    return {
+      vmId: membership.self.vmId,
+      bootId: membership.self.bootId,
+      failureDomain: settings.failureDomain,
+      state: this.state,
+      ready: this.isReady(),
+      documents: {
+        config: {...configStore.status(nowMs), inForce},
+        vms: vmListStore.status(nowMs),
+      },
+      members: membership.members().map(member => ({
+        vmId: member.incarnation.vmId,
+        bootId: member.incarnation.bootId,
+        state: member.state,
+        lastHeardAgeMs: Math.max(0, nowMs - member.lastHeardMs),
+      })),
+      engine: {
+        ...engine.status(nowMs),
+        readsPlatform: reader.started,
+        platformCalls: reader.callCounts(),
+        targetConnections: this.parts.targets.connectionCount,
+        claimRecords: book.summary().recordCount,
+        openSettlements: claims.openSettlementCount,
+      },
+    };
+  }
+
+  timeline(): VmTimeline {
+    const {membership, events} = this.parts;
+    return {vmId: membership.self.vmId, events: events.events()};
+  }
+
+  async metrics(): Promise<{
+    readonly contentType: string;
+    readonly text: string;
+  }> {
+    const {registry} = this.parts.metrics;
+    return {contentType: registry.contentType, text: await registry.metrics()};
+  }
+
+  private every(intervalMs: number, work: () => void): void {
+    const timer = setInterval(() => {
+      try {
+        work();
+      } catch (error) {
+        this.parts.log.error('periodic work failed', error);
+      }
+    }, intervalMs);
+    this.timers.push(timer);
+  }
+
+  private tick(): void {
+    const {runner, engine, targets, clock} = this.parts;
+    this.checkPause(clock.nowMs());
+    runner.feed(nowMs => engine.onTick(nowMs));
+    this.tickCount += 1;
+    if (this.tickCount % CONNECTION_CHECK_TICKS === 0) {
+      targets.tick();
+    }
+  }
+
+  /** Missing heartbeats during an own pause prove nothing about peers. */
+  private checkPause(nowMs: number): void {
+    const pause = this.pauses.observeTick(nowMs);
+    if (pause === undefined) {
+      return;
+    }
+    const {membership, home, log} = this.parts;
+    const pauseMs = Math.round(pause.resumedMs - pause.lastTickMs);
+    log.warn(`this process paused for ${pauseMs} ms`);
+    membership.onPause(nowMs);
+    home.onPause(pauseMs, nowMs);
+  }
+
+  private gossip(): void {
+    const {membership, clock, random, transport} = this.parts;
+    const nowMs = clock.nowMs();
+    this.checkPause(nowMs);
+    const changes = membership.tick(nowMs);
+    this.parts.home.onMembershipChanges(changes, nowMs);
+    for (const change of changes) {
+      const {vmId, bootId, from, to, planned} = change;
+      this.parts.events.record('membership', `vm-${to}`, {
+        vmId,
+        bootId,
+        from: from ?? 'unknown',
+        planned,
+      });
+      this.parts.log.info(`VM ${vmId} is ${to}`);
+    }
+    this.refreshView();
+    this.parts.documents.pull();
+    const peer = membership.nextPeer(random, nowMs);
+    if (peer !== undefined && !this.exchanging) {
+      this.exchanging = true;
+      void transport
+        .exchange(peer)
+        .catch((error: unknown) => this.parts.log.error('gossip failed', error))
+        .finally(() => {
+          this.exchanging = false;
+        });
+    }
+  }
+
+  private keepHouse(): void {
+    const {book, clock} = this.parts;
+    book.expire(clock.nowMs());
+  }
+
+  /** Tells the engine and the platform reader which VMs are there. */
+  private refreshView(): void {
+    const {membership, runner, engine, documents} = this.parts;
+    const readyVmIds = membership.readyVmIds();
+    // A suspect counts as live: a greater count makes the own share smaller.
+    const live = membership
+      .members()
+      .filter(member => member.state !== 'dead')
+      .map(member => member.incarnation.vmId);
+    const liveVmIds = [...new Set([...live, membership.self.vmId])].sort();
+    const view = JSON.stringify([readyVmIds, liveVmIds]);
+    if (view === this.lastView) {
+      return;
+    }
+    this.lastView = view;
+    runner.feed(nowMs =>
+      engine.applyMembership({readyVmIds, liveVmIds}, nowMs),
+    );
+    documents.chooseReader(liveVmIds);
+  }
+
+  private becomeReady(): void {
+    const {documents, membership, home, clock, log, events} = this.parts;
+    if (this.state !== 'starting' || !documents.complete) {
+      return;
+    }
+    this.state = 'ready';
+    membership.setOwnState('ready');
+    home.onReady(clock.nowMs());
+    events.record('process', 'ready', {});
+    log.info('ready');
+    this.refreshView();
+  }
+
+  private async runShutdown(): Promise<void> {
+    const {settings, callers, home, log, events, engine} = this.parts;
+    log.info(`leaving, callers have ${settings.leaveDelayMs} ms to notice`);
+    events.record('process', 'leaving', {});
+    this.state = 'leaving';
+    callers.beginDrain();
+    await sleep(settings.leaveDelayMs);
+    const stopped = callers.stop();
+    await this.waitUntil(() => callers.openCount === 0);
+    await this.waitUntil(() => engine.inFlightCount() === 0);
+    await this.waitUntil(() => this.parts.claims.openSettlementCount === 0);
+    home.stopTaking();
+    await this.handOver();
+    this.timers.forEach(clearInterval);
+    this.parts.targets.close();
+    this.operator.close();
+    await this.parts.reader.stop();
+    await this.parts.transport.close();
+    callers.destroy();
+    await stopped;
+    log.info('all requests are finished, ending');
+  }
+
+  private async waitUntil(condition: () => boolean): Promise<void> {
+    while (!condition()) {
+      await sleep(SHUTDOWN_POLL_MS);
+    }
+  }
+
+  /** Hands records over and, if that worked, announces the departure. */
+  private async handOver(): Promise<void> {
+    const {home, clock, transport, claims, membership, log} = this.parts;
+    const plan = home.planHandOver(clock.nowMs());
+    let complete = plan.isComplete;
+    for (const [vmId, records] of plan.batches) {
+      const address = claims.addressOf(vmId);
+      const acknowledged =
+        address !== undefined && (await transport.handOver(address, records));
+      complete &&= acknowledged;
+    }
+    if (!complete) {
+      // Peers must see an unplanned departure: their records lack some.
+      log.warn('records not handed over, ending without announcement');
+      return;
+    }
+    membership.setOwnState('leaving');
+    for (let round = 0; round < FAREWELL_ROUNDS; round++) {
+      await sleep(GOSSIP_MS);
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/document_exchange.ts
@@ -0,0 +1,192 @@
+/**
+ * Where documents come from and where adopted ones go.
+ *
+ * @packageDocumentation
+ */
+import {z} from 'zod';
+import type {Clock} from '../core/index.js';
+import {ownerIdOf, type Membership} from '../membership/index.js';
+import type {PlatformReader} from '../platform_http/index.js';
+import {
+  platformReaders,
+  type ConfigDocument,
+  type DocumentName,
+  type DocumentStore,
+  type DocumentVersion,
+  type PublishedDocument,
+  type VmListDocument,
+} from '../preset/index.js';
+import type {ComponentLog} from './component_log.js';
+import type {EventLog} from './event_log.js';
+import type {PeerAddress, PeerTransport} from './peer_transport.js';
+
+/** Prefix of the facts that state document versions. */
+const DOCUMENT_FACT_PREFIX = 'document/';
+
+const versionSchema = z.object({
+  revision: z.number(),
+  platformVersion: z.number(),
+  sha256: z.string(),
+});
+
+/** Receives adopted documents. */
+export interface DocumentListener {
+  onConfig(document: ConfigDocument): void;
+  onVmList(document: VmListDocument): void;
+}
+
+/** Options of {@link DocumentExchange}. */
+export interface DocumentExchangeOptions {
+  readonly clock: Clock;
+  readonly membership: Membership;
+  readonly transport: PeerTransport;
+  readonly config: DocumentStore<ConfigDocument>;
+  readonly vms: DocumentStore<VmListDocument>;
+  readonly events: EventLog;
+  readonly log: ComponentLog;
+}
+
+/** Offers documents of platform and peers to the stores. */
+export class DocumentExchange {
+  private readonly fetching = new Set<DocumentName>();
+  private listener: DocumentListener | undefined;
+  private reader: PlatformReader | undefined;
+
+  /** @param options - stores and sources */
+  constructor(private readonly options: DocumentExchangeOptions) {}
+
+  /** Sets who uses the documents and who reads the platform. */
+  attach(listener: DocumentListener, reader: PlatformReader): void {
+    this.listener = listener;
+    this.reader = reader;
+  }
+
+  /** True when both documents are there. */
+  get complete(): boolean {
+    const {config, vms} = this.options;
+    return config.adopted !== undefined && vms.adopted !== undefined;
+  }
+
+  /**
+   * Takes in a document from any source.
+   *
+   * @param published - document as its source stated it
+   */
+  offer(published: PublishedDocument): void {
+    const {config, vms, clock} = this.options;
+    const nowMs = clock.nowMs();
+    if (published.name === 'config') {
+      const outcome = config.offer(published, nowMs);
+      this.report(published, outcome);
+      if (outcome.type === 'adopted') {
+        this.listener?.onConfig(outcome.adopted.document);
+      }
+      return;
+    }
+    const outcome = vms.offer(published, nowMs);
+    this.report(published, outcome);
+    if (outcome.type === 'adopted') {
+      this.listener?.onVmList(outcome.adopted.document);
+    }
+  }
+
+  /** Fetches newer versions that peers announced; one call each at a time. */
+  pull(): void {
+    const {membership, config, vms} = this.options;
+    for (const fact of membership.factsByPrefix(DOCUMENT_FACT_PREFIX)) {
+      const name = fact.key.slice(DOCUMENT_FACT_PREFIX.length);
+      const version = parseVersion(fact.value);
+      if (version === undefined || (name !== 'config' && name !== 'vms')) {
+        continue;
+      }
+      const store = name === 'config' ? config : vms;
+      const address = this.addressOfOwner(fact.ownerId);
+      if (address !== undefined && store.wants(version)) {
+        void this.fetch(name, address);
+      }
+    }
+  }
+
+  /** Starts or stops reading the platform as the ranking of VMs demands. */
+  chooseReader(liveVmIds: readonly string[]): void {
+    const {reader} = this;
+    const {membership, log} = this.options;
+    if (reader === undefined) {
+      return;
+    }
+    // A VM that knows no peer is the only live one and so reads itself.
+    const wanted = platformReaders(liveVmIds).includes(membership.self.vmId);
+    if (wanted && !reader.started) {
+      log.info('reading the platform');
+      reader.start();
+    } else if (!wanted && reader.started) {
+      log.info('other VMs read the platform');
+      void reader.stop();
+    }
+  }
+
+  private async fetch(name: DocumentName, peer: PeerAddress): Promise<void> {
+    if (this.fetching.has(name)) {
+      return;
+    }
+    this.fetching.add(name);
+    try {
+      const published = await this.options.transport.fetchDocument(peer, name);
+      if (published !== undefined) {
+        this.offer(published);
+      }
+    } catch (error) {
+      this.options.log.error(`fetching ${name} failed`, error);
+    } finally {
+      this.fetching.delete(name);
+    }
+  }
+
+  private addressOfOwner(ownerId: string): PeerAddress | undefined {
+    const {membership} = this.options;
+    if (ownerId === ownerIdOf(membership.self)) {
+      return undefined;
+    }
+    return membership
+      .members()
+      .find(member => ownerIdOf(member.incarnation) === ownerId)?.incarnation;
+  }
+
+  private report(
+    published: PublishedDocument,
+    outcome: {readonly type: string; readonly reason?: string},
+  ): void {
+    const {name, version} = published;
+    const {events, log, membership} = this.options;
+    const details = {
+      document: name,
+      revision: version.revision,
+      platformVersion: version.platformVersion,
+      sha256: version.sha256,
+    };
+    if (outcome.type === 'unchanged' || outcome.type === 'ignored') {
+      return;
+    }
+    events.record('config', `document-${outcome.type}`, details);
+    const label = `${name} revision ${version.revision}, platform version ${version.platformVersion}`;
+    if (outcome.type === 'refused') {
+      log.warn(`refused ${label}: ${outcome.reason ?? 'invalid'}`);
+      return;
+    }
+    log.info(`${outcome.type} ${label}`);
+    if (outcome.type === 'adopted') {
+      membership.publish(
+        `${DOCUMENT_FACT_PREFIX}${name}`,
+        JSON.stringify(version),
+      );
+    }
+  }
+}
+
+function parseVersion(text: string): DocumentVersion | undefined {
+  try {
+    return versionSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/operator_http/index.ts
@@ -0,0 +1,6 @@
+/**
+ * HTTP server for operators.
+ *
+ * @packageDocumentation
+ */
+export {OperatorServer, type OperatorView} from './operator_server.js';
