Connect daemons over gRPC

Cause: claims, gossip and documents must cross VMs.

Change: transport and handler over the peer protocol, hybrid clock and event ring, a pause guard before each input, hand-over of records at a planned shutdown and to a home that became ready.

--- a/src/daemon/composition_root.ts
+++ b/src/daemon/composition_root.ts
@@ -9,8 +9,9 @@
 import {CallerServer, DEFAULT_CALLER_LIMITS} from '../caller_http/index.js';
 import {Clock, RandomSource, SeededRandom, SystemClock} from '../core/index.js';
 import {RequestEngine} from '../engine/index.js';
-import {GossipMembership, Membership, ownerIdOf} from '../membership/index.js';
+import {GossipMembership, ownerIdOf, type Fact} from '../membership/index.js';
 import {OperatorServer} from '../operator_http/index.js';
+import {MessageStamp, PeerClient, PeerServer} from '../peer_grpc/index.js';
 import {PlatformReader} from '../platform_http/index.js';
 import {createConfigStore, createVmListStore} from '../preset/index.js';
 import {BudgetedProbeScheduler} from '../probing/index.js';
@@ -24,6 +25,7 @@
 import {ServiceTargetPool} from '../routing/index.js';
 import type {DaemonSettings} from '../settings/index.js';
 import {TargetClient} from '../target_http/index.js';
+import {HybridClock} from '../timeline/index.js';
 import {ClaimRouter} from './claim_router.js';
 import {ComponentLog} from './component_log.js';
 import {Daemon} from './daemon.js';
@@ -31,9 +33,12 @@
 import {DocumentExchange} from './document_exchange.js';
 import {EffectRunner} from './effect_runner.js';
 import {EventLog} from './event_log.js';
-import {LoneTransport} from './lone_transport.js';
-import {MemoryEventLog} from './memory_event_log.js';
+import {GrpcTransport} from './grpc_transport.js';
+import {PauseGuard} from './pause_guard.js';
+import {PeerService} from './peer_service.js';
 import {PeerTransport} from './peer_transport.js';
+import {RingEventLog} from './ring_event_log.js';
+import {WallClockStamp} from './wall_clock_stamp.js';
 
 /** What a daemon is composed from. */
 export interface ComposeOptions {
@@ -63,6 +68,7 @@
   bindBase(container, settings, seed);
   bindDecisions(container, settings);
   bindAdapters(container, options);
+  bindPeerProtocol(container, options);
   return container.getAsync(Daemon);
 }
 
@@ -74,14 +80,18 @@
   container.bind(Clock).toConstantValue(new SystemClock());
   container.bind(RandomSource).toConstantValue(new SeededRandom({seed}));
   container.bind(DaemonMetrics).toConstantValue(new DaemonMetrics());
-  container.bind(EventLog).toConstantValue(new MemoryEventLog(settings.vmId));
+  const hybridClock = new HybridClock();
+  container
+    .bind(EventLog)
+    .toConstantValue(new RingEventLog(settings.vmId, hybridClock));
+  container.bind(MessageStamp).toConstantValue(new WallClockStamp(hybridClock));
   container.bind(CONFIG_STORE).toConstantValue(createConfigStore());
   container.bind(VM_LIST_STORE).toConstantValue(createVmListStore());
 }
 
 function bindDecisions(container: Container, settings: DaemonSettings): void {
   const {vmId, failureDomain, peer} = settings;
-  container.bind(Membership).toDynamicValue(
+  container.bind(GossipMembership).toDynamicValue(
     ({get}) =>
       new GossipMembership({
         self: {vmId, bootId: randomUUID(), host: peer.host, port: peer.port},
@@ -97,7 +107,7 @@
     .bind(HomeVm)
     .toDynamicValue(
       ({get}) =>
-        new HomeVm({membership: get(Membership), book: get(ClaimBook)}),
+        new HomeVm({membership: get(GossipMembership), book: get(ClaimBook)}),
     );
   container
     .bind(CrashQuarantine)
@@ -106,7 +116,7 @@
     ({get}) =>
       new RequestEngine({
         vmId,
-        incarnationId: ownerIdOf(get(Membership).self),
+        incarnationId: ownerIdOf(get(GossipMembership).self),
         failureDomain,
         random: get(RandomSource),
         createPool: poolOptions => new ServiceTargetPool(poolOptions),
@@ -120,7 +130,6 @@
 function bindAdapters(container: Container, options: ComposeOptions): void {
   const {settings, logger} = options;
   const logOf = (name: string): ComponentLog => new ComponentLog(logger, name);
-  container.bind(PeerTransport).toConstantValue(new LoneTransport());
   container
     .bind(TargetClient)
     .toDynamicValue(({get}) => new TargetClient({clock: get(Clock)}));
@@ -128,7 +137,7 @@
     ({get}) =>
       new ClaimRouter({
         clock: get(Clock),
-        membership: get(Membership),
+        membership: get(GossipMembership),
         home: get(HomeVm),
         transport: get(PeerTransport),
         log: logOf('claims'),
@@ -138,7 +147,7 @@
     ({get}) =>
       new DocumentExchange({
         clock: get(Clock),
-        membership: get(Membership),
+        membership: get(GossipMembership),
         transport: get(PeerTransport),
         config: get(CONFIG_STORE),
         vms: get(VM_LIST_STORE),
@@ -162,7 +171,7 @@
     });
   });
   container.bind(EffectRunner).toDynamicValue(({get}) => {
-    const membership = get(Membership);
+    const membership = get(GossipMembership);
     return new EffectRunner({
       clock: get(Clock),
       engine: get(RequestEngine),
@@ -202,10 +211,12 @@
         clock: get(Clock),
         random: get(RandomSource),
         engine: get(RequestEngine),
-        membership: get(Membership),
+        membership: get(GossipMembership),
         home: get(HomeVm),
         book: get(ClaimBook),
         transport: get(PeerTransport),
+        peerServer: get(PeerServer),
+        pauses: get(PauseGuard),
         configStore: get(CONFIG_STORE),
         vmListStore: get(VM_LIST_STORE),
         documents: get(DocumentExchange),
@@ -221,3 +232,55 @@
       }),
   );
 }
+
+function bindPeerProtocol(container: Container, options: ComposeOptions): void {
+  const {settings, logger} = options;
+  const log = new ComponentLog(logger, 'peers');
+  // Looked up at each call: the runner needs the transport to be built first.
+  const onFacts = (facts: readonly Fact[]): void => {
+    const runner = container.get(EffectRunner);
+    const engine = container.get(RequestEngine);
+    for (const fact of facts) {
+      runner.feed(nowMs => engine.onPeerFact(fact, nowMs));
+    }
+  };
+  container.bind(PauseGuard).toDynamicValue(
+    ({get}) =>
+      new PauseGuard({
+        clock: get(Clock),
+        membership: get(GossipMembership),
+        home: get(HomeVm),
+        log: new ComponentLog(logger, 'process'),
+      }),
+  );
+  container.bind(PeerTransport).toDynamicValue(
+    ({get}) =>
+      new GrpcTransport({
+        clock: get(Clock),
+        client: new PeerClient({clock: get(Clock), stamp: get(MessageStamp)}),
+        membership: get(GossipMembership),
+        onFacts,
+      }),
+  );
+  container.bind(PeerServer).toDynamicValue(({get}) => {
+    const pauses = get(PauseGuard);
+    const handler = new PeerService({
+      clock: get(Clock),
+      membership: get(GossipMembership),
+      home: get(HomeVm),
+      claims: get(ClaimRouter),
+      config: get(CONFIG_STORE),
+      vms: get(VM_LIST_STORE),
+      onFacts,
+      checkPause: () => pauses.check(),
+    });
+    return new PeerServer({
+      host: settings.peer.host,
+      port: settings.peer.port,
+      handler,
+      clock: get(Clock),
+      stamp: get(MessageStamp),
+      onFault: error => log.error('call of a peer failed', error),
+    });
+  });
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,10 +5,11 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {CallerServer} from '../caller_http/index.js';
-import {PauseDetector, type Clock, type RandomSource} from '../core/index.js';
+import type {Clock, RandomSource} from '../core/index.js';
 import type {RequestEngine} from '../engine/index.js';
-import type {Membership} from '../membership/index.js';
+import type {GossipMembership} from '../membership/index.js';
 import type {OperatorServer, OperatorView} from '../operator_http/index.js';
+import type {PeerServer} from '../peer_grpc/index.js';
 import type {PlatformReader} from '../platform_http/index.js';
 import type {
   ConfigDocument,
@@ -26,14 +27,12 @@
 import type {DocumentExchange, DocumentListener} from './document_exchange.js';
 import type {EffectRunner} from './effect_runner.js';
 import type {EventLog} from './event_log.js';
+import type {PauseGuard} from './pause_guard.js';
 import type {PeerTransport} from './peer_transport.js';
 
 /** Interval of the engine's ticks. */
 const TICK_MS = 10;
 
-/** A gap between ticks that is longer counts as a pause of this process. */
-const MAX_TICK_GAP_MS = 250;
-
 /** Ticks between two checks for silent connections. */
 const CONNECTION_CHECK_TICKS = 5;
 
@@ -55,10 +54,12 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly engine: RequestEngine;
-  readonly membership: Membership;
+  readonly membership: GossipMembership;
   readonly home: HomeVm;
+  readonly pauses: PauseGuard;
   readonly book: ClaimBook;
   readonly transport: PeerTransport;
+  readonly peerServer: PeerServer;
   readonly configStore: DocumentStore<ConfigDocument>;
   readonly vmListStore: DocumentStore<VmListDocument>;
   readonly documents: DocumentExchange;
@@ -77,7 +78,6 @@
 
 /** Runs the parts and decides on the lifecycle of the VM. */
 export class Daemon implements OperatorView, DocumentListener {
-  private readonly pauses = new PauseDetector({maxGapMs: MAX_TICK_GAP_MS});
   private readonly operator: OperatorServer;
   private timers: NodeJS.Timeout[] = [];
   private state: Lifecycle = 'starting';
@@ -85,6 +85,11 @@
   private lastView = '';
   private exchanging = false;
   private shutdownDone: Promise<void> | undefined;
+  private markEnded: () => void = () => undefined;
+  /** Resolves when a planned shutdown is complete. */
+  readonly ended = new Promise<void>(resolve => {
+    this.markEnded = resolve;
+  });
 
   /** @param parts - the parts, not started yet */
   constructor(private readonly parts: DaemonParts) {
@@ -106,6 +111,10 @@
       members: () => membership.members().length,
       claimRecords: () => this.parts.book.summary().recordCount,
     });
+    const bound = await this.parts.peerServer.start();
+    if (bound.isErr()) {
+      throw new Error(bound.error.message);
+    }
     const operatorPort = await this.operator.listen(settings.operator);
     const callerPort = await callers.listen(settings.caller);
     this.every(TICK_MS, () => this.tick());
@@ -209,8 +218,8 @@
   }
 
   private tick(): void {
-    const {runner, engine, targets, clock} = this.parts;
-    this.checkPause(clock.nowMs());
+    const {runner, engine, targets, pauses} = this.parts;
+    pauses.check();
     runner.feed(nowMs => engine.onTick(nowMs));
     this.tickCount += 1;
     if (this.tickCount % CONNECTION_CHECK_TICKS === 0) {
@@ -218,23 +227,10 @@
     }
   }
 
-  /** Missing heartbeats during an own pause prove nothing about peers. */
-  private checkPause(nowMs: number): void {
-    const pause = this.pauses.observeTick(nowMs);
-    if (pause === undefined) {
-      return;
-    }
-    const {membership, home, log} = this.parts;
-    const pauseMs = Math.round(pause.resumedMs - pause.lastTickMs);
-    log.warn(`this process paused for ${pauseMs} ms`);
-    membership.onPause(nowMs);
-    home.onPause(pauseMs, nowMs);
-  }
-
   private gossip(): void {
     const {membership, clock, random, transport} = this.parts;
+    this.parts.pauses.check();
     const nowMs = clock.nowMs();
-    this.checkPause(nowMs);
     const changes = membership.tick(nowMs);
     this.parts.home.onMembershipChanges(changes, nowMs);
     for (const change of changes) {
@@ -248,8 +244,17 @@
       this.parts.log.info(`VM ${vmId} is ${to}`);
     }
     this.refreshView();
+    for (const {vmId, to} of changes) {
+      if (to === 'ready' && vmId !== membership.self.vmId) {
+        this.returnRecords(vmId);
+      }
+    }
+    if (membership.replacedBy !== undefined && this.state !== 'leaving') {
+      this.parts.log.warn(`replaced by ${membership.replacedBy}, leaving`);
+      void this.shutDown();
+    }
     this.parts.documents.pull();
-    const peer = membership.nextPeer(random, nowMs);
+    const peer = membership.nextPeer(random);
     if (peer !== undefined && !this.exchanging) {
       this.exchanging = true;
       void transport
@@ -261,6 +266,24 @@
     }
   }
 
+  /** Sends a VM the records that this one kept as its substitute. */
+  private returnRecords(vmId: string): void {
+    const {home, book, clock, claims, transport, log} = this.parts;
+    const records = home.recordsFor(vmId, clock.nowMs());
+    const address = claims.addressOf(vmId);
+    if (records.length === 0 || address === undefined) {
+      return;
+    }
+    const {lastEvictionMs} = book.summary();
+    void transport
+      .handOver(address, records, lastEvictionMs)
+      .then(acknowledged => {
+        const result = acknowledged ? 'took over' : 'did not take over';
+        log.info(`VM ${vmId} ${result} ${records.length} records`);
+      })
+      .catch((error: unknown) => log.error('hand-over failed', error));
+  }
+
   private keepHouse(): void {
     const {book, clock} = this.parts;
     book.expire(clock.nowMs());
@@ -317,10 +340,12 @@
     this.parts.targets.close();
     this.operator.close();
     await this.parts.reader.stop();
+    await this.parts.peerServer.stop();
     await this.parts.transport.close();
     callers.destroy();
     await stopped;
     log.info('all requests are finished, ending');
+    this.markEnded();
   }
 
   private async waitUntil(condition: () => boolean): Promise<void> {
@@ -332,12 +357,14 @@
   /** Hands records over and, if that worked, announces the departure. */
   private async handOver(): Promise<void> {
     const {home, clock, transport, claims, membership, log} = this.parts;
+    const {lastEvictionMs} = this.parts.book.summary();
     const plan = home.planHandOver(clock.nowMs());
     let complete = plan.isComplete;
     for (const [vmId, records] of plan.batches) {
       const address = claims.addressOf(vmId);
       const acknowledged =
-        address !== undefined && (await transport.handOver(address, records));
+        address !== undefined &&
+        (await transport.handOver(address, records, lastEvictionMs));
       complete &&= acknowledged;
     }
     if (!complete) {
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -37,14 +37,12 @@
   try {
     const daemon = await composeDaemon({settings, logger});
     const end = (): void => {
-      daemon.shutDown().then(
-        () => process.exit(0),
-        (error: unknown) => {
-          log.error('shutdown failed', error);
-          process.exit(1);
-        },
-      );
+      daemon.shutDown().catch((error: unknown) => {
+        log.error('shutdown failed', error);
+        process.exit(1);
+      });
     };
+    void daemon.ended.then(() => process.exit(0));
     // A second signal joins the first shutdown and cuts no request.
     process.on('SIGTERM', end);
     process.on('SIGINT', end);
--- a/src/daemon/peer_transport.ts
+++ b/src/daemon/peer_transport.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type {InstantMs} from '../core/index.js';
 import type {DocumentName, PublishedDocument} from '../preset/index.js';
 import type {
   ClaimAnswer,
@@ -35,6 +36,7 @@
   abstract handOver(
     peer: PeerAddress,
     records: readonly ClaimRecord[],
+    lastEvictionMs: InstantMs | undefined,
   ): Promise<boolean>;
 
   /** Fetches a document; undefined if the peer did not answer or has none. */
@@ -43,6 +45,6 @@
     name: DocumentName,
   ): Promise<PublishedDocument | undefined>;
 
-  /** Stops serving peers and closes connections to them. */
+  /** Closes the connections to peers. */
   abstract close(): Promise<void>;
 }
--- /dev/null
+++ b/src/daemon/ring_event_log.ts
@@ -0,0 +1,37 @@
+/**
+ * Events in the ring of this process.
+ *
+ * @packageDocumentation
+ */
+import {
+  EventRing,
+  type EventPart,
+  type HybridClock,
+  type TimelineEvent,
+} from '../timeline/index.js';
+import {EventLog, type EventDetails} from './event_log.js';
+
+/** Stamps events with the hybrid clock and keeps the newest ones. */
+export class RingEventLog extends EventLog {
+  private readonly ring = new EventRing();
+
+  /**
+   * @param vmId - stamped on each event
+   * @param clock - clock that messages between VMs carry as well
+   */
+  constructor(
+    private readonly vmId: string,
+    private readonly clock: HybridClock,
+  ) {
+    super();
+  }
+
+  override record(part: EventPart, name: string, details: EventDetails): void {
+    const time = this.clock.next(Date.now());
+    this.ring.add({time, vmId: this.vmId, part, name, details});
+  }
+
+  override events(): readonly TimelineEvent[] {
+    return this.ring.events();
+  }
+}
