--- /dev/null
+++ b/src/daemon/composition_root.ts
@@ -0,0 +1,286 @@
+/**
+ * Composition root: the only place that knows which class fills which part.
+ *
+ * @packageDocumentation
+ */
+import {randomInt, randomUUID} from 'node:crypto';
+import type Logger from 'bunyan';
+import {Container, type ServiceIdentifier} from 'inversify';
+import {CallerServer, DEFAULT_CALLER_LIMITS} from '../caller_http/index.js';
+import {Clock, RandomSource, SeededRandom, SystemClock} from '../core/index.js';
+import {RequestEngine} from '../engine/index.js';
+import {GossipMembership, ownerIdOf, type Fact} from '../membership/index.js';
+import {OperatorServer} from '../operator_http/index.js';
+import {MessageStamp, PeerClient, PeerServer} from '../peer_grpc/index.js';
+import {PlatformReader} from '../platform_http/index.js';
+import {createConfigStore, createVmListStore} from '../preset/index.js';
+import {BudgetedProbeScheduler} from '../probing/index.js';
+import {
+  ClaimBook,
+  CrashQuarantine,
+  FingerprintQuarantine,
+  HomeVm,
+  KeyedClaimBook,
+} from '../recovery/index.js';
+import {ServiceTargetPool} from '../routing/index.js';
+import type {DaemonSettings} from '../settings/index.js';
+import {TargetClient} from '../target_http/index.js';
+import {HybridClock} from '../timeline/index.js';
+import {ClaimRouter} from './claim_router.js';
+import {ComponentLog} from './component_log.js';
+import {Daemon} from './daemon.js';
+import {DaemonMetrics} from './daemon_metrics.js';
+import {DocumentExchange} from './document_exchange.js';
+import {EffectRunner} from './effect_runner.js';
+import {EventLog} from './event_log.js';
+import {GrpcTransport} from './grpc_transport.js';
+import {PauseGuard} from './pause_guard.js';
+import {PeerService} from './peer_service.js';
+import {PeerTransport} from './peer_transport.js';
+import {RingEventLog} from './ring_event_log.js';
+import {WallClockStamp} from './wall_clock_stamp.js';
+
+/** What a daemon is composed from. */
+export interface ComposeOptions {
+  readonly settings: DaemonSettings;
+  readonly logger: Logger;
+}
+
+const CONFIG_STORE: ServiceIdentifier<ReturnType<typeof createConfigStore>> =
+  Symbol('ConfigStore');
+const VM_LIST_STORE: ServiceIdentifier<ReturnType<typeof createVmListStore>> =
+  Symbol('VmListStore');
+
+/** Seeds are 31-bit integers. */
+const SEED_BOUND = 2 ** 31 - 1;
+
+/**
+ * Builds a daemon that is not started yet.
+ *
+ * @param options - settings and log
+ * @returns the daemon
+ * @throws an error of the parts, for example of the peer port
+ */
+export async function composeDaemon(options: ComposeOptions): Promise<Daemon> {
+  const {settings} = options;
+  const container = new Container({defaultScope: 'Singleton'});
+  const seed = settings.randomSeed ?? randomInt(SEED_BOUND);
+  bindBase(container, settings, seed);
+  bindDecisions(container, settings);
+  bindAdapters(container, options);
+  bindPeerProtocol(container, options);
+  return container.getAsync(Daemon);
+}
+
+function bindBase(
+  container: Container,
+  settings: DaemonSettings,
+  seed: number,
+): void {
+  container.bind(Clock).toConstantValue(new SystemClock());
+  container.bind(RandomSource).toConstantValue(new SeededRandom({seed}));
+  container.bind(DaemonMetrics).toConstantValue(new DaemonMetrics());
+  const hybridClock = new HybridClock();
+  container
+    .bind(EventLog)
+    .toConstantValue(new RingEventLog(settings.vmId, hybridClock));
+  container.bind(MessageStamp).toConstantValue(new WallClockStamp(hybridClock));
+  container.bind(CONFIG_STORE).toConstantValue(createConfigStore());
+  container.bind(VM_LIST_STORE).toConstantValue(createVmListStore());
+}
+
+function bindDecisions(container: Container, settings: DaemonSettings): void {
+  const {vmId, failureDomain, peer} = settings;
+  container.bind(GossipMembership).toDynamicValue(
+    ({get}) =>
+      new GossipMembership({
+        self: {vmId, bootId: randomUUID(), host: peer.host, port: peer.port},
+        startMs: get(Clock).nowMs(),
+      }),
+  );
+  container
+    .bind(ClaimBook)
+    .toDynamicValue(
+      ({get}) => new KeyedClaimBook({startMs: get(Clock).nowMs()}),
+    );
+  container
+    .bind(HomeVm)
+    .toDynamicValue(
+      ({get}) =>
+        new HomeVm({membership: get(GossipMembership), book: get(ClaimBook)}),
+    );
+  container
+    .bind(CrashQuarantine)
+    .toDynamicValue(() => new FingerprintQuarantine());
+  container.bind(RequestEngine).toDynamicValue(
+    ({get}) =>
+      new RequestEngine({
+        vmId,
+        incarnationId: ownerIdOf(get(GossipMembership).self),
+        failureDomain,
+        random: get(RandomSource),
+        createPool: poolOptions => new ServiceTargetPool(poolOptions),
+        createScheduler: schedulerOptions =>
+          new BudgetedProbeScheduler(schedulerOptions),
+        quarantine: get(CrashQuarantine),
+      }),
+  );
+}
+
+function bindAdapters(container: Container, options: ComposeOptions): void {
+  const {settings, logger} = options;
+  const logOf = (name: string): ComponentLog => new ComponentLog(logger, name);
+  container
+    .bind(TargetClient)
+    .toDynamicValue(({get}) => new TargetClient({clock: get(Clock)}));
+  container.bind(ClaimRouter).toDynamicValue(
+    ({get}) =>
+      new ClaimRouter({
+        clock: get(Clock),
+        membership: get(GossipMembership),
+        home: get(HomeVm),
+        transport: get(PeerTransport),
+        log: logOf('claims'),
+      }),
+  );
+  container.bind(DocumentExchange).toDynamicValue(
+    ({get}) =>
+      new DocumentExchange({
+        clock: get(Clock),
+        membership: get(GossipMembership),
+        transport: get(PeerTransport),
+        config: get(CONFIG_STORE),
+        vms: get(VM_LIST_STORE),
+        events: get(EventLog),
+        log: logOf('documents'),
+      }),
+  );
+  const platformLog = logOf('platform');
+  container.bind(PlatformReader).toDynamicValue(({get}) => {
+    const documents = get(DocumentExchange);
+    return new PlatformReader({
+      baseUrls: settings.platformUrls,
+      vmId: settings.vmId,
+      clock: get(Clock),
+      random: get(RandomSource),
+      listener: {
+        onDocument: published => documents.offer(published),
+        onError: (name, error) =>
+          platformLog.warn(`${name} not read, ${error.type}: ${error.reason}`),
+      },
+    });
+  });
+  container.bind(EffectRunner).toDynamicValue(({get}) => {
+    const membership = get(GossipMembership);
+    return new EffectRunner({
+      clock: get(Clock),
+      engine: get(RequestEngine),
+      targets: get(TargetClient),
+      claims: get(ClaimRouter),
+      events: get(EventLog),
+      metrics: get(DaemonMetrics),
+      log: logOf('engine'),
+      publish: (key, value) => membership.publish(key, value),
+    });
+  });
+  container.bind(CallerServer).toDynamicValue(({get}) => {
+    const runner = get(EffectRunner);
+    const {caller} = settings;
+    const server = new CallerServer({
+      clock: get(Clock),
+      limits: {
+        ...DEFAULT_CALLER_LIMITS,
+        maxHeadBytes: caller.maxHeaderBytes,
+        maxBodyBytes: caller.maxBodyBytes,
+        requestTimeoutMs: caller.requestTimeoutMs,
+        headTimeoutMs: Math.min(
+          caller.requestTimeoutMs,
+          DEFAULT_CALLER_LIMITS.headTimeoutMs,
+        ),
+        idleTimeoutMs: caller.idleTimeoutMs,
+      },
+      listener: runner,
+    });
+    runner.attach(server);
+    return server;
+  });
+  container.bind(Daemon).toDynamicValue(
+    ({get}) =>
+      new Daemon({
+        settings,
+        clock: get(Clock),
+        random: get(RandomSource),
+        engine: get(RequestEngine),
+        membership: get(GossipMembership),
+        home: get(HomeVm),
+        book: get(ClaimBook),
+        transport: get(PeerTransport),
+        peerServer: get(PeerServer),
+        pauses: get(PauseGuard),
+        configStore: get(CONFIG_STORE),
+        vmListStore: get(VM_LIST_STORE),
+        documents: get(DocumentExchange),
+        reader: get(PlatformReader),
+        claims: get(ClaimRouter),
+        runner: get(EffectRunner),
+        targets: get(TargetClient),
+        callers: get(CallerServer),
+        createOperator: view => new OperatorServer(view),
+        metrics: get(DaemonMetrics),
+        events: get(EventLog),
+        log: logOf('daemon'),
+      }),
+  );
+}
+
+function bindPeerProtocol(container: Container, options: ComposeOptions): void {
+  const {settings, logger} = options;
+  const log = new ComponentLog(logger, 'peers');
+  // Looked up at each call: the runner needs the transport to be built first.
+  const onFacts = (facts: readonly Fact[]): void => {
+    const runner = container.get(EffectRunner);
+    const engine = container.get(RequestEngine);
+    for (const fact of facts) {
+      runner.feed(nowMs => engine.onPeerFact(fact, nowMs));
+    }
+  };
+  container.bind(PauseGuard).toDynamicValue(
+    ({get}) =>
+      new PauseGuard({
+        clock: get(Clock),
+        membership: get(GossipMembership),
+        home: get(HomeVm),
+        log: new ComponentLog(logger, 'process'),
+      }),
+  );
+  container.bind(PeerTransport).toDynamicValue(
+    ({get}) =>
+      new GrpcTransport({
+        clock: get(Clock),
+        client: new PeerClient({clock: get(Clock), stamp: get(MessageStamp)}),
+        membership: get(GossipMembership),
+        onFacts,
+      }),
+  );
+  container.bind(PeerServer).toDynamicValue(({get}) => {
+    const pauses = get(PauseGuard);
+    const handler = new PeerService({
+      clock: get(Clock),
+      membership: get(GossipMembership),
+      home: get(HomeVm),
+      claims: get(ClaimRouter),
+      config: get(CONFIG_STORE),
+      vms: get(VM_LIST_STORE),
+      onFacts,
+      checkPause: () => pauses.check(),
+    });
+    return new PeerServer({
+      host: settings.peer.host,
+      port: settings.peer.port,
+      handler,
+      clock: get(Clock),
+      stamp: get(MessageStamp),
+      onFault: error => log.error('call of a peer failed', error),
+    });
+  });
+}
