Let the probe scheduler's setBudget take the instant of its contract

Cause: a call with three arguments on the class did not compile. Change: the signature of the contract is declared; the instant is not needed. Conclusion: the class can be used without its base type.

--- a/bench/routing_policies.ts
+++ b/bench/routing_policies.ts
@@ -217,7 +217,7 @@
     pool.syncTargets(listTargets(deployment), 0);
     pool.setLiveVmCount(VM_COUNT);
     const prober = new BudgetedProbeScheduler({vmId, startMs: 0});
-    prober.setBudget(200, VM_CEILING);
+    prober.setBudget(200, VM_CEILING, 0);
     prober.setLiveVms(Array.from({length: VM_COUNT}, (_, vm) => `e-${vm}`));
     return {vmId, failureDomain, pool, prober, queues: [[], []]};
   }
--- a/src/probing/budgeted_probe_scheduler.ts
+++ b/src/probing/budgeted_probe_scheduler.ts
@@ -81,7 +81,14 @@
    *
    * @param probesPerSecond - budget of all VMs together
    * @param vmCeiling - upper bound of entry VMs alive at once
+   * @param nowMs - current instant; not needed, since spacing is measured
+   *     from the last probe
    */
+  override setBudget(
+    probesPerSecond: number,
+    vmCeiling: number,
+    nowMs: InstantMs,
+  ): void;
   override setBudget(probesPerSecond: number, vmCeiling: number): void {
     const windowBudget = (BUDGET_WINDOW_MS / 1_000) * probesPerSecond;
     const probesPerWindow = Math.floor(windowBudget / vmCeiling);
--- a/src/probing/budgeted_probe_scheduler_test.ts
+++ b/src/probing/budgeted_probe_scheduler_test.ts
@@ -44,7 +44,7 @@
         startMs: nowMs,
       });
       while (nowMs < endMs) {
-        vm.setBudget(budgets[nowMs < 20_000 ? 0 : 1], vmCeiling);
+        vm.setBudget(budgets[nowMs < 20_000 ? 0 : 1], vmCeiling, nowMs);
         if (vm.next(NO_REPORTS, nowMs) !== undefined) {
           probesMs.push(nowMs);
         }
@@ -79,7 +79,7 @@
   // Guards against one probe too many by rounding, for each k up to 700.
   for (let perWindow = 1; perWindow <= 700; perWindow += 1) {
     const vm = new BudgetedProbeScheduler({vmId: 'e-1', startMs: 0.1});
-    vm.setBudget(perWindow / 10 + 1e-9, 1);
+    vm.setBudget(perWindow / 10 + 1e-9, 1, 0);
     const probesMs: number[] = [];
     let nowMs = 0.1;
     while (nowMs < 25_000) {
@@ -97,7 +97,7 @@
 test('the budget is used, and a pause is not made up for', () => {
   // Guards against a burst after a pause and against a scheduler that idles.
   const vm = new BudgetedProbeScheduler({vmId: 'e-1', startMs: 0});
-  vm.setBudget(20, 1);
+  vm.setBudget(20, 1, 0);
   let sent = 0;
   for (let nowMs = 0; nowMs <= 10_000; nowMs += 10) {
     sent += vm.next(NO_REPORTS, nowMs) === undefined ? 0 : 1;
@@ -111,7 +111,7 @@
 test('a target that never answers does not take all probes', () => {
   // Guards against an unreachable target that is always the oldest.
   const vm = new BudgetedProbeScheduler({vmId: 'e-1', startMs: 0});
-  vm.setBudget(10, 1);
+  vm.setBudget(10, 1, 0);
   const probed = [1_000, 2_000, 3_000].map(nowMs => vm.next(NO_REPORTS, nowMs));
   assert.deepEqual(new Set(probed), new Set(['t-1', 't-2', 't-3']));
 });
@@ -127,7 +127,7 @@
   for (const vmId of vmIds) {
     const vm = new BudgetedProbeScheduler({vmId, startMs: 0});
     vm.setLiveVms(vmIds);
-    vm.setBudget(240, 24);
+    vm.setBudget(240, 24, 0);
     for (let nowMs = 200; nowMs <= 2_000; nowMs += 200) {
       probed.add(vm.next(candidates, nowMs) ?? '');
     }
