Test the failure penalty and probation on their own

Cause: with the penalty or the probation limit removed no test failed; ejection alone passed the test of fast failures. Change: that test now ignores health, so only the penalty helps; a new test covers the limit on probation. Conclusion: no change to the code.

--- a/src/routing/service_target_pool_test.ts
+++ b/src/routing/service_target_pool_test.ts
@@ -274,8 +274,9 @@
 
 test('a target that fails fast attracts no load', () => {
   // Guards against a broken target that looks idle and takes most requests.
+  // The penalty alone must do, for health may be ignored.
   for (const outcome of ['server-error', 'refused'] as const) {
-    const bench = new Bench(10);
+    const bench = new Bench(10, {maxEjectedShare: 0});
     let failed = 0;
     for (let count = 0; count < 1_000; count += 1) {
       bench.nowMs += 5;
@@ -294,6 +295,18 @@
   }
 });
 
+test('a target on probation gets one request at a time', () => {
+  // Guards against full load on a target that may still be broken.
+  const bench = new Bench(8, {routing: 'least-in-flight'});
+  for (let count = 0; count < 3; count += 1) {
+    bench.pool.onSent('t-0', 0);
+    bench.pool.onFinished('t-0', 'server-error', 0);
+  }
+  assert.ok(!bench.fill().sent.includes('t-0'));
+  bench.nowMs = 1_000;
+  assert.deepEqual(bench.fill().sent, ['t-0']);
+});
+
 test('a failing service with idle targets holds no request back', () => {
   // Guards against a penalty for failures that counts as load.
   const bench = new Bench(8, {maxEjectedShare: 0});
