Limit the rate of load facts

Cause: load facts may change with each request; bytes must not follow the rate. Change: a load fact is published at most once in loadIntervalMs, the newest value last. The default is one round (250 ms). The interval stays at one round.

--- a/bench/membership_cost.ts
+++ b/bench/membership_cost.ts
@@ -34,6 +34,9 @@
 const MEASURED_ROUNDS = 80;
 const PROBE_FACTS = 10;
 
+/** Least time between two load facts of a VM; the default of the module. */
+const LOAD_INTERVAL_MS = Number(process.env['LOAD_INTERVAL_MS'] ?? ROUND_MS);
+
 /** Prefix of a gRPC message, in bytes. */
 const FRAME_BYTES = 5;
 
@@ -71,6 +74,7 @@
           port: i,
         },
         startMs: 0,
+        loadIntervalMs: LOAD_INTERVAL_MS,
       });
       vm.addContacts([{host: '10.0.0.1', port: 0}]);
       return vm;
@@ -84,8 +88,13 @@
       vm.setOwnState('ready');
       publishLoad(vm, this.random);
       const ownerId = ownerIdOf(vm.self);
-      const sequence = vm.digest().get(ownerId) ?? 0;
-      this.publishedMs.set(`${ownerId} ${sequence}`, this.nowMs);
+      const own = vm
+        .factsByPrefix('load/')
+        .find(fact => fact.ownerId === ownerId);
+      const id = `${ownerId} ${own?.sequence ?? 0}`;
+      if (!this.publishedMs.has(id)) {
+        this.publishedMs.set(id, this.nowMs);
+      }
     }
     const first = this.random.nextInt(this.vms.length);
     for (let i = 0; i < this.vms.length; i++) {
@@ -256,7 +265,10 @@
 
 function main(): void {
   const seed = Number(process.argv[2] ?? 41);
-  console.log(`seed ${seed}, ${TARGET_COUNT} targets, round ${ROUND_MS} ms`);
+  console.log(
+    `seed ${seed}, ${TARGET_COUNT} targets, round ${ROUND_MS} ms, ` +
+      `load facts every ${LOAD_INTERVAL_MS} ms`,
+  );
   console.log(
     'VMs  bytes/s (sent+received)  us/s  rounds mean/max  ' +
       'mean age of load facts ms  heartbeat gap max ms',
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -24,6 +24,7 @@
 /** A replacement that starts declares older incarnations for this long. */
 const REPLACE_WINDOW_MS = 10_000;
 
+const LOAD_PREFIX = 'load/';
 const ADDRESS_KEY = 'address';
 const STATE_KEY = 'state';
 const HEARTBEAT_KEY = 'heartbeat';
@@ -35,6 +36,8 @@
   readonly startMs: InstantMs;
   /** Interval between two heartbeats, 250 by default. */
   readonly roundMs?: number;
+  /** Least time between two publications of a load fact, 250 by default. */
+  readonly loadIntervalMs?: number;
   /** Silence until a member is suspected, 2,000 by default. */
   readonly suspectAfterMs?: number;
   /** Silence until a member is dead, 5,000 by default. */
@@ -79,6 +82,9 @@
   private readonly contacts: ContactList;
   private ownState: AnnouncedState = 'starting';
   private heartbeat = 0;
+  private readonly loadIntervalMs: number;
+  private readonly nextLoadMs = new Map<string, InstantMs>();
+  private readonly pendingLoads = new Map<string, string>();
   private nextHeartbeatMs: InstantMs;
   private nowMs: InstantMs;
   private replacedById: string | undefined;
@@ -94,6 +100,7 @@
     this.nowMs = startMs;
     this.nextHeartbeatMs = startMs;
     this.roundMs = options.roundMs ?? ROUND_MS;
+    this.loadIntervalMs = options.loadIntervalMs ?? ROUND_MS;
     this.store = new FactStore({
       selfId: this.selfId,
       maxFactsPerMessage: options.maxFactsPerMessage ?? 200,
@@ -123,8 +130,24 @@
     return this.replacedById;
   }
 
+  /**
+   * Publishes or replaces a fact. A load fact that follows another within
+   * `loadIntervalMs` waits, and the newest value is published by a later tick.
+   *
+   * @param key - fact key
+   * @param value - JSON text; empty to delete
+   * @throws FactLimitError if too many facts of this VM are kept
+   */
   override publish(key: string, value: string): void {
+    const isLoad = key.startsWith(LOAD_PREFIX);
+    if (isLoad && this.nowMs < (this.nextLoadMs.get(key) ?? -Infinity)) {
+      this.pendingLoads.set(key, value);
+      return;
+    }
     this.store.publish(key, value, this.nowMs);
+    if (isLoad) {
+      this.nextLoadMs.set(key, this.nowMs + this.loadIntervalMs);
+    }
   }
 
   override factsByPrefix(prefix: string): readonly Fact[] {
@@ -201,6 +224,7 @@
       this.heartbeat += 1;
       this.publish(HEARTBEAT_KEY, String(this.heartbeat));
       this.store.expire(nowMs);
+      this.publishPendingLoads();
     }
     for (const {ownerId, hasLeft} of this.table.advance(nowMs)) {
       this.store.remove(ownerId, hasLeft, nowMs);
@@ -237,6 +261,19 @@
     return this.store.size();
   }
 
+  private publishPendingLoads(): void {
+    for (const [key, dueMs] of this.nextLoadMs) {
+      if (dueMs <= this.nowMs) {
+        this.nextLoadMs.delete(key);
+        const value = this.pendingLoads.get(key);
+        this.pendingLoads.delete(key);
+        if (value !== undefined) {
+          this.publish(key, value);
+        }
+      }
+    }
+  }
+
   private computeReadyVmIds(): readonly string[] {
     const ready = this.members().filter(member => member.state === 'ready');
     const vmIds = ready.map(member => member.incarnation.vmId);
