Identify owners in digests by 52 bits of a hash

Change: Digest is keyed by shortIdOf(ownerId), a whole number below 2^52; on the wire a packed double. Tombstones are keyed the same way. Conclusion: costs a chance of about 1 in 10^12 that two of 64 owners collide.

--- a/bench/membership_cost.ts
+++ b/bench/membership_cost.ts
@@ -13,6 +13,7 @@
   LoadCountsCodec,
   ownerIdOf,
   ROUND_MS,
+  shortIdOf,
   type OwnerDelta,
 } from '../src/membership/index.js';
 import {
@@ -232,10 +233,10 @@
       return 0;
     }
     owner.publish(`quarantine/${i}`, '1');
-    const ownerId = ownerIdOf(owner.self);
-    const sequence = owner.digest().get(ownerId) ?? 0;
+    const shortId = shortIdOf(ownerIdOf(owner.self));
+    const sequence = owner.digest().get(shortId) ?? 0;
     const lacksFact = (vm: GossipMembership): boolean =>
-      (vm.digest().get(ownerId) ?? 0) < sequence;
+      (vm.digest().get(shortId) ?? 0) < sequence;
     let rounds = 0;
     while (fleet.vms.some(lacksFact)) {
       fleet.round();
--- a/src/membership/fact_store.ts
+++ b/src/membership/fact_store.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type {InstantMs} from '../core/index.js';
+import {hashText, type InstantMs} from '../core/index.js';
 import type {Digest, Fact, OwnerDelta} from './types.js';
 
 /** Limits of a store. */
@@ -27,7 +27,11 @@
   override readonly name = 'FactLimitError';
 }
 
+/** Hexadecimal digits of an owner's short id: 52 bits, exact as a double. */
+const SHORT_ID_DIGITS = 13;
+
 interface OwnerFacts {
+  readonly shortId: number;
   /** Ordered by sequence: an updated fact is inserted again at the end. */
   readonly facts: Map<string, Fact>;
   knownSequence: number;
@@ -56,13 +60,14 @@
  */
 export class FactStore {
   private readonly owners = new Map<string, OwnerFacts>();
-  private readonly tombstones = new Map<string, Tombstone>();
+  /** By short id, as digests spread them. */
+  private readonly tombstones = new Map<number, Tombstone>();
   private markers: Marker[] = [];
   private firstOwnerIndex = 0;
 
   /** @param options - see {@link FactStoreOptions} */
   constructor(private readonly options: FactStoreOptions) {
-    this.owners.set(options.selfId, newOwner());
+    this.owners.set(options.selfId, newOwner(options.selfId));
   }
 
   /**
@@ -119,13 +124,13 @@
    * @returns greatest sequence held by owner
    */
   digest(): Digest {
-    const digest = new Map<string, number>();
-    for (const [ownerId, tombstone] of this.tombstones) {
+    const digest = new Map<number, number>();
+    for (const [shortId, tombstone] of this.tombstones) {
       const {isFinal, sequence} = tombstone;
-      digest.set(ownerId, isFinal ? ENDED_SEQUENCE : sequence);
+      digest.set(shortId, isFinal ? ENDED_SEQUENCE : sequence);
     }
-    for (const [ownerId, owner] of this.owners) {
-      digest.set(ownerId, owner.knownSequence);
+    for (const owner of this.owners.values()) {
+      digest.set(owner.shortId, owner.knownSequence);
     }
     return digest;
   }
@@ -139,7 +144,7 @@
    */
   deltaFor(digest: Digest): readonly OwnerDelta[] {
     const behind = [...this.owners].filter(
-      ([ownerId, owner]) => owner.knownSequence > (digest.get(ownerId) ?? 0),
+      ([, owner]) => owner.knownSequence > (digest.get(owner.shortId) ?? 0),
     );
     const deltas: OwnerDelta[] = [];
     let room = this.options.maxFactsPerMessage;
@@ -150,7 +155,7 @@
         continue;
       }
       const [ownerId, owner] = entry;
-      const afterSequence = digest.get(ownerId) ?? 0;
+      const afterSequence = digest.get(owner.shortId) ?? 0;
       const facts = factsAfter(owner, afterSequence, room);
       room -= facts.length;
       if (facts.length > 0) {
@@ -214,24 +219,41 @@
    */
   remove(ownerId: string, isFinal: boolean, nowMs: InstantMs): void {
     const sequence = this.owners.get(ownerId)?.knownSequence ?? 0;
-    const expiresMs = nowMs + this.options.tombstoneMs;
     this.owners.delete(ownerId);
-    this.tombstones.delete(ownerId);
-    this.tombstones.set(ownerId, {sequence, isFinal, expiresMs});
-    if (this.tombstones.size > this.options.maxOwners) {
-      const [oldest] = this.tombstones.keys();
-      this.tombstones.delete(oldest ?? '');
-    }
+    this.bury(shortIdOf(ownerId), sequence, isFinal, nowMs);
   }
 
   /**
-   * Tells whether an incarnation left for good.
+   * Adopts the incarnations that a peer's digest marks as ended.
    *
-   * @param ownerId - the incarnation
-   * @returns true if its facts are refused whatever their sequence
+   * @param digest - the peer's digest
+   * @param adoptsUnknown - true to refuse also those not known here
+   * @param nowMs - current instant in milliseconds
+   * @returns owner ids of those that were known and are removed now
    */
-  isEnded(ownerId: string): boolean {
-    return this.tombstones.get(ownerId)?.isFinal ?? false;
+  adoptEnded(
+    digest: Digest,
+    adoptsUnknown: boolean,
+    nowMs: InstantMs,
+  ): readonly string[] {
+    const ended = new Set<number>();
+    for (const [shortId, sequence] of digest) {
+      if (sequence === ENDED_SEQUENCE) {
+        ended.add(shortId);
+      }
+    }
+    const known = [...this.owners]
+      .filter(([ownerId]) => ownerId !== this.options.selfId)
+      .filter(([, owner]) => ended.delete(owner.shortId))
+      .map(([ownerId]) => ownerId);
+    known.forEach(ownerId => this.remove(ownerId, true, nowMs));
+    ended.delete(shortIdOf(this.options.selfId));
+    for (const shortId of adoptsUnknown ? ended : []) {
+      if (this.tombstones.get(shortId)?.isFinal !== true) {
+        this.bury(shortId, 0, true, nowMs);
+      }
+    }
+    return known;
   }
 
   /**
@@ -240,9 +262,9 @@
    * @param nowMs - current instant in milliseconds
    */
   expire(nowMs: InstantMs): void {
-    for (const [ownerId, tombstone] of this.tombstones) {
+    for (const [shortId, tombstone] of this.tombstones) {
       if (tombstone.expiresMs <= nowMs) {
-        this.tombstones.delete(ownerId);
+        this.tombstones.delete(shortId);
       }
     }
     const due = this.markers.filter(marker => marker.collectMs <= nowMs);
@@ -262,11 +284,30 @@
   }
 
   private ownerOrNew(ownerId: string): OwnerFacts {
-    return this.owners.get(ownerId) ?? newOwner();
+    return this.owners.get(ownerId) ?? newOwner(ownerId);
+  }
+
+  private bury(
+    shortId: number,
+    sequence: number,
+    isFinal: boolean,
+    nowMs: InstantMs,
+  ): void {
+    const expiresMs = nowMs + this.options.tombstoneMs;
+    this.tombstones.delete(shortId);
+    this.tombstones.set(shortId, {sequence, isFinal, expiresMs});
+    const [oldest] = this.tombstones.keys();
+    if (this.tombstones.size > this.options.maxOwners && oldest !== undefined) {
+      this.tombstones.delete(oldest);
+    }
   }
 
   private passesTombstone(delta: OwnerDelta): boolean {
-    const tombstone = this.tombstones.get(delta.ownerId);
+    if (this.tombstones.size === 0) {
+      return true;
+    }
+    const shortId = shortIdOf(delta.ownerId);
+    const tombstone = this.tombstones.get(shortId);
     if (tombstone === undefined) {
       return true;
     }
@@ -274,7 +315,7 @@
     if (tombstone.isFinal || newest <= tombstone.sequence) {
       return false;
     }
-    this.tombstones.delete(delta.ownerId);
+    this.tombstones.delete(shortId);
     return true;
   }
 
@@ -312,8 +353,25 @@
   }
 }
 
-function newOwner(): OwnerFacts {
-  return {facts: new Map(), knownSequence: 0, collectedSequence: 0};
+function newOwner(ownerId: string): OwnerFacts {
+  const shortId = shortIdOf(ownerId);
+  return {shortId, facts: new Map(), knownSequence: 0, collectedSequence: 0};
+}
+
+/**
+ * Hashes an owner id for digests. Two owners with the same short id would hide
+ * facts of each other; 52 bits make that about 1 in 10^12 for 64 owners.
+ *
+ * @param ownerId - `vmId/bootId`
+ * @returns a whole number below 2^52
+ *
+ * @example
+ * ```ts
+ * const sequence = digest.get(shortIdOf('e-01/5f3a'));
+ * ```
+ */
+export function shortIdOf(ownerId: string): number {
+  return parseInt(hashText(ownerId).slice(0, SHORT_ID_DIGITS), 16);
 }
 
 function factsAfter(
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -5,7 +5,7 @@
  */
 import type {InstantMs, RandomSource} from '../core/index.js';
 import {ContactList, type PeerAddress} from './contact_list.js';
-import {ENDED_SEQUENCE, FactStore} from './fact_store.js';
+import {FactStore} from './fact_store.js';
 import {MemberTable, ownerIdOf} from './member_table.js';
 import {
   Membership,
@@ -185,11 +185,9 @@
    * @returns facts by owner, oldest first, bounded
    */
   override deltaFor(digest: Digest): readonly OwnerDelta[] {
-    for (const [ownerId, sequence] of digest) {
-      if (sequence === ENDED_SEQUENCE) {
-        this.adoptEnded(ownerId);
-      }
-    }
+    const isJoining = this.nowMs - this.startMs < REPLACE_WINDOW_MS;
+    const ended = this.store.adoptEnded(digest, isJoining, this.nowMs);
+    ended.forEach(ownerId => this.table.replace(ownerId, this.nowMs));
     return this.store.deltaFor(digest);
   }
 
@@ -342,15 +340,6 @@
     this.store.remove(ownerId, true, nowMs);
   }
 
-  private adoptEnded(ownerId: string): void {
-    const isJoining = this.nowMs - this.startMs < REPLACE_WINDOW_MS;
-    const isKnown = this.table.stateOf(ownerId) !== undefined;
-    const isSelf = ownerId === this.selfId;
-    if (!isSelf && (isKnown || (isJoining && !this.store.isEnded(ownerId)))) {
-      this.endIncarnation(ownerId, this.nowMs);
-    }
-  }
-
   private announcedBy(ownerId: string): AnnouncedState {
     const state = parseJson(this.store.valueOf(ownerId, STATE_KEY));
     return state === 'ready' || state === 'leaving' ? state : 'starting';
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -5,7 +5,7 @@
  */
 export * from './types.js';
 export {type PeerAddress} from './contact_list.js';
-export {FactLimitError} from './fact_store.js';
+export {FactLimitError, shortIdOf} from './fact_store.js';
 export {
   GossipMembership,
   ROUND_MS,
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -40,8 +40,11 @@
   readonly facts: readonly Fact[];
 }
 
-/** Greatest sequence known of each owner. */
-export type Digest = ReadonlyMap<string, number>;
+/**
+ * Greatest sequence known of each owner, by the owner's short id (52 bits of
+ * the hash of its owner id).
+ */
+export type Digest = ReadonlyMap<number, number>;
 
 /** Lifecycle of a member as seen by this VM. */
 export type MemberState = 'starting' | 'ready' | 'leaving' | 'suspect' | 'dead';
--- a/src/peer_grpc/codec.ts
+++ b/src/peer_grpc/codec.ts
@@ -61,18 +61,21 @@
 
 /** @internal */
 export function encodeDigest(digest: Digest): WireDigest {
-  return {ownerIds: [...digest.keys()], sequences: [...digest.values()]};
+  return {ownerShortIds: [...digest.keys()], sequences: [...digest.values()]};
 }
 
 /** @internal */
 export function decodeDigest(wire: WireDigest | null): Digest {
   check(wire !== null, 'digest is missing');
-  const {ownerIds, sequences} = wire;
-  check(ownerIds.length === sequences.length, 'digest lists differ in length');
-  const digest = new Map<string, number>();
-  ownerIds.forEach((ownerId, i) => {
-    checkOwnerId(ownerId);
-    digest.set(ownerId, checkCount(sequences[i], 'sequence'));
+  const {ownerShortIds, sequences} = wire;
+  check(
+    ownerShortIds.length === sequences.length,
+    'digest lists differ in length',
+  );
+  const digest = new Map<number, number>();
+  ownerShortIds.forEach((value, i) => {
+    const shortId = checkCount(value, 'owner_short_id');
+    digest.set(shortId, checkCount(sequences[i], 'sequence'));
   });
   return digest;
 }
--- a/src/peer_grpc/wire.ts
+++ b/src/peer_grpc/wire.ts
@@ -15,7 +15,7 @@
 
 /** @internal */
 export interface WireDigest {
-  readonly ownerIds: readonly string[];
+  readonly ownerShortIds: readonly number[];
   readonly sequences: readonly number[];
 }
 
