Close two gaps in the tests of documents and status

Cause: of 14 trial mutations on a scratch copy, two passed all tests: a republished document counted as its own rival, and status ignored `ready`. One more made a test hang after its timeout instead of ending. Change: one test for republication, one step for readiness, and waiting in the reader's tests ends with the test's timeout.

--- a/src/cli/cli_test.ts
+++ b/src/cli/cli_test.ts
@@ -266,6 +266,9 @@
     good.out,
     /e-01 +a +ready +yes +lunch +1 +1 +[0-9a-f]{12} +1 s ago/,
   );
+  second.ready = false;
+  assert.equal((await run(['status', ...options])).code, 1);
+  second.ready = true;
   second.offer(sampleConfig(2));
   second.offer('{');
   second.members = ['e-02', 'e-03'];
--- a/src/platform_http/platform_reader_test.ts
+++ b/src/platform_http/platform_reader_test.ts
@@ -31,7 +31,7 @@
   readonly reader: PlatformReader;
 
   constructor(
-    t: TestContext,
+    private readonly t: TestContext,
     baseUrls: readonly string[],
     options: {readonly watchMs?: number} = {},
   ) {
@@ -62,7 +62,7 @@
   /** Waits until a condition holds; the test's timeout bounds it. */
   async until(condition: () => boolean): Promise<void> {
     while (!condition()) {
-      await sleep(5);
+      await sleep(5, undefined, {signal: this.t.signal});
     }
   }
 }
--- a/src/preset/document_store_test.ts
+++ b/src/preset/document_store_test.ts
@@ -135,6 +135,18 @@
   }
 });
 
+test('the same document published again is no rival of itself', () => {
+  // Guards against an operator who is told that the own publication lost.
+  const store = createConfigStore();
+  store.offer(publishedDocument('config', 5, sampleConfig(2)), 0);
+  const outcome = store.offer(
+    publishedDocument('config', 6, sampleConfig(2)),
+    0,
+  );
+  assert.equal(outcome.type, 'adopted');
+  assert.deepEqual(store.status(0).superseded, []);
+});
+
 test('a later publication with a lower revision is refused with a reason', () => {
   // Guards against a publication that is ignored without a word.
   const store = createConfigStore();
