Check killed parts and planned shutdowns with separate processes

Cause: faults between processes do not show in tests within one process.

Change: npm test kills the platform stand-in, a daemon and a target process in turn, and stops daemons as planned, under light load. The stand-in caller does not raise x-attempt after a refused connection, which carried no byte.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
-# Runs all tests of the built project; arguments are passed to node's test runner.
+# Runs all tests of the built project: first those of node's test runner, to
+# which arguments are passed, then the checks with separate processes. With
+# PROCESSES=0 the latter are left out.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 # The list comes from the sources: dist may hold output of deleted files.
@@ -8,4 +10,10 @@
 for source in "${sources[@]}"; do
   files+=("dist/${source%.ts}.js")
 done
-exec node --test --test-concurrency=4 "$@" "${files[@]}"
+node --test --test-concurrency=4 "$@" "${files[@]}"
+if [ "${PROCESSES:-1}" = 1 ]; then
+  for check in tests/processes/*.sh; do
+    echo "# $check"
+    bash "$check"
+  done
+fi
--- a/src/standins/caller_report.ts
+++ b/src/standins/caller_report.ts
@@ -24,6 +24,8 @@
   };
   late = 0;
   resends = 0;
+  /** Sendings that ended without an answer after the connection was open. */
+  noAnswers = 0;
   private readonly latency: Histogram = build({
     lowestDiscernibleValue: 1,
     highestTrackableValue: 120_000_000,
@@ -56,6 +58,7 @@
       ...this.counts,
       late: this.late,
       resends: this.resends,
+      noAnswers: this.noAnswers,
       worthServed: (this.counts.answered - this.late) * this.worth,
       p50Ms: this.percentileMs(50),
       p99Ms: this.percentileMs(99),
@@ -68,6 +71,8 @@
 export interface LedgerCheck {
   /** Non-idempotent requests that ran more than once. */
   readonly doubleRuns: readonly string[];
+  /** Runs of non-idempotent requests by id. */
+  readonly onceRuns: Readonly<Record<string, number>>;
   /** Requests that were refused with `not-run` at the end but ran. */
   readonly falseNotRun: readonly string[];
   readonly probes: number;
@@ -145,9 +150,7 @@
 /** JSON form of the results. */
 export function reportToJson(report: CallerReport): string {
   const {seed, durationMs, kinds, ledger} = report;
-  return JSON.stringify(
-    {seed, durationMs, kinds: Object.fromEntries(kinds), ledger},
-    undefined,
-    2,
-  );
+  const {onceRuns = {}, ...checks} = ledger ?? {};
+  const fields = {seed, durationMs, kinds: Object.fromEntries(kinds)};
+  return JSON.stringify({...fields, ledger: checks, onceRuns}, undefined, 2);
 }
--- a/src/standins/caller_run.ts
+++ b/src/standins/caller_run.ts
@@ -136,6 +136,19 @@
     arrival: Arrival,
     attempt: number,
     sendings: number,
+  ): Promise<Sending> {
+    const sending = await this.sendOnce(arrival, attempt, sendings);
+    const report = this.reports.get(arrival.kind.name);
+    if (sending === 'no-answer' && report !== undefined) {
+      report.noAnswers += 1;
+    }
+    return sending;
+  }
+
+  private async sendOnce(
+    arrival: Arrival,
+    attempt: number,
+    sendings: number,
   ): Promise<Sending> {
     const {kind, id} = arrival;
     const {entries} = this.settings;
@@ -160,8 +173,10 @@
       const body = await response.body.text();
       const verdict = String(response.headers['x-verdict']);
       return classify(response.statusCode, verdict, body, id);
-    } catch {
-      return 'no-answer';
+    } catch (error) {
+      // A refused connection carried no byte of the request.
+      const {code} = error as NodeJS.ErrnoException;
+      return code === 'ECONNREFUSED' ? 'not-run' : 'no-answer';
     }
   }
 
@@ -184,7 +199,11 @@
         probes += count;
       }
     }
+    const onceRuns: Record<string, number> = {};
     for (const [id, count] of totals) {
+      if (this.onceIds.has(id)) {
+        onceRuns[id] = count;
+      }
       if (count > 1 && this.onceIds.has(id)) {
         doubleRuns.push(id);
       }
@@ -192,7 +211,7 @@
         falseNotRun.push(id);
       }
     }
-    return read === 0 ? undefined : {doubleRuns, falseNotRun, probes};
+    return read === 0 ? undefined : {doubleRuns, falseNotRun, onceRuns, probes};
   }
 }
 
