Name known owners by short id and shorten the heartbeat key

Change: OwnerDelta has ownerShortId, and ownerId only for owners new to the peer; its facts no longer repeat the owner. On the wire the key heartbeat is one character.

--- a/src/membership/fact_store.ts
+++ b/src/membership/fact_store.ts
@@ -60,6 +60,8 @@
  */
 export class FactStore {
   private readonly owners = new Map<string, OwnerFacts>();
+  /** Owner ids of peers by short id. */
+  private readonly ownerIds = new Map<number, string>();
   /** By short id, as digests spread them. */
   private readonly tombstones = new Map<number, Tombstone>();
   private markers: Marker[] = [];
@@ -159,8 +161,13 @@
       const facts = factsAfter(owner, afterSequence, room);
       room -= facts.length;
       if (facts.length > 0) {
-        const {collectedSequence} = owner;
-        deltas.push({ownerId, afterSequence, collectedSequence, facts});
+        deltas.push({
+          ownerId: afterSequence === 0 ? ownerId : undefined,
+          ownerShortId: owner.shortId,
+          afterSequence,
+          collectedSequence: owner.collectedSequence,
+          facts,
+        });
       }
     }
     return deltas;
@@ -175,10 +182,14 @@
    * @returns the facts that were new
    */
   merge(delta: OwnerDelta, nowMs: InstantMs): readonly Fact[] {
-    const {ownerId, afterSequence, collectedSequence} = delta;
+    const {afterSequence, collectedSequence} = delta;
+    const ownerId = delta.ownerId ?? this.ownerIds.get(delta.ownerShortId);
     if (ownerId === this.options.selfId || !this.passesTombstone(delta)) {
       return [];
     }
+    if (ownerId === undefined) {
+      return [];
+    }
     const owner = this.ownerOrNew(ownerId);
     if (
       collectedSequence > owner.collectedSequence &&
@@ -186,15 +197,15 @@
       owner.knownSequence < collectedSequence
     ) {
       // A deletion that this store never saw is gone; start again.
-      this.owners.delete(ownerId);
+      this.forget(ownerId);
       return [];
     }
     if (afterSequence > owner.knownSequence) {
       return [];
     }
-    const fresh = delta.facts.filter(
-      fact => fact.sequence > owner.knownSequence,
-    );
+    const fresh = delta.facts
+      .filter(fact => fact.sequence > owner.knownSequence)
+      .map(fact => ({...fact, ownerId}));
     if (!this.hasRoomFor(ownerId, owner, fresh)) {
       return [];
     }
@@ -203,6 +214,7 @@
       collectedSequence,
     );
     this.owners.set(ownerId, owner);
+    this.ownerIds.set(owner.shortId, ownerId);
     for (const fact of fresh) {
       this.put(owner, fact, nowMs);
     }
@@ -219,7 +231,7 @@
    */
   remove(ownerId: string, isFinal: boolean, nowMs: InstantMs): void {
     const sequence = this.owners.get(ownerId)?.knownSequence ?? 0;
-    this.owners.delete(ownerId);
+    this.forget(ownerId);
     this.bury(shortIdOf(ownerId), sequence, isFinal, nowMs);
   }
 
@@ -287,6 +299,11 @@
     return this.owners.get(ownerId) ?? newOwner(ownerId);
   }
 
+  private forget(ownerId: string): void {
+    this.owners.delete(ownerId);
+    this.ownerIds.delete(shortIdOf(ownerId));
+  }
+
   private bury(
     shortId: number,
     sequence: number,
@@ -306,7 +323,7 @@
     if (this.tombstones.size === 0) {
       return true;
     }
-    const shortId = shortIdOf(delta.ownerId);
+    const shortId = delta.ownerShortId;
     const tombstone = this.tombstones.get(shortId);
     if (tombstone === undefined) {
       return true;
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -200,7 +200,7 @@
     for (const delta of deltas) {
       const facts = this.store.merge(delta, nowMs);
       fresh.push(...facts);
-      this.interpret(delta.ownerId, facts, nowMs);
+      this.interpret(facts, nowMs);
     }
     if (this.table.hasChanges()) {
       this.readyCache = undefined;
@@ -283,11 +283,9 @@
     return live.map(member => ownerIdOf(member.incarnation));
   }
 
-  private interpret(
-    ownerId: string,
-    facts: readonly Fact[],
-    nowMs: InstantMs,
-  ): void {
+  /** Applies new facts of one owner to the table of members. */
+  private interpret(facts: readonly Fact[], nowMs: InstantMs): void {
+    const ownerId = facts[0]?.ownerId ?? '';
     const incarnation = this.incarnationOf(ownerId);
     if (incarnation === undefined) {
       return;
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -26,18 +26,23 @@
   readonly sequence: number;
 }
 
+/** A fact as sent to a peer, under its owner. */
+export type FactUpdate = Omit<Fact, 'ownerId'>;
+
 /**
  * Facts of one owner as sent to a peer: all facts after `afterSequence` that
  * were not replaced by later ones, up to the last one listed.
  */
 export interface OwnerDelta {
-  readonly ownerId: string;
+  /** Undefined if the peer knows the owner already. */
+  readonly ownerId: string | undefined;
+  readonly ownerShortId: number;
   /** Entry of the peer's digest; the peer ignores facts that leave a gap. */
   readonly afterSequence: number;
   /** Deletions up to this sequence may be missing. */
   readonly collectedSequence: number;
   /** Ascending by sequence. */
-  readonly facts: readonly Fact[];
+  readonly facts: readonly FactUpdate[];
 }
 
 /**
--- a/src/peer_grpc/codec.ts
+++ b/src/peer_grpc/codec.ts
@@ -4,7 +4,12 @@
  * @packageDocumentation
  */
 import type {InstantMs, Verdict} from '../core/index.js';
-import type {Digest, Fact, OwnerDelta} from '../membership/index.js';
+import {
+  shortIdOf,
+  type Digest,
+  type FactUpdate,
+  type OwnerDelta,
+} from '../membership/index.js';
 import type {DocumentName, PublishedDocument} from '../preset/index.js';
 import type {
   ClaimAnswer,
@@ -33,6 +38,10 @@
 /** Longest value of a fact, in characters. */
 const MAX_VALUE_LENGTH = 65_536;
 
+/** Most frequent fact key, and its form on the wire. */
+const HEARTBEAT_KEY = 'heartbeat';
+const HEARTBEAT_CODE = '\u0001';
+
 /** Error thrown for a message with impossible content. @internal */
 export class BadMessageError extends Error {
   override readonly name = 'BadMessageError';
@@ -82,23 +91,28 @@
 
 /** @internal */
 export function encodeDelta(delta: OwnerDelta): WireDelta {
-  const {ownerId, afterSequence, collectedSequence, facts} = delta;
+  const {afterSequence, collectedSequence, facts} = delta;
   let previous = afterSequence;
   const sequenceSteps = facts.map(({sequence}) => {
     const step = sequence - previous;
     previous = sequence;
     return step;
   });
-  const keys = facts.map(fact => fact.key);
+  const keys = facts.map(({key}) =>
+    key === HEARTBEAT_KEY ? HEARTBEAT_CODE : key,
+  );
   const values = facts.map(fact => fact.value);
   const lists = {keys, values, sequenceSteps};
-  return {ownerId, afterSequence, collectedSequence, ...lists};
+  const owner =
+    delta.ownerId === undefined
+      ? {ownerId: '', ownerShortId: delta.ownerShortId}
+      : {ownerId: delta.ownerId};
+  return {...owner, afterSequence, collectedSequence, ...lists};
 }
 
 /** @internal */
 export function decodeDelta(wire: WireDelta): OwnerDelta {
-  const {ownerId, keys, values, sequenceSteps} = wire;
-  checkOwnerId(ownerId);
+  const {keys, values, sequenceSteps} = wire;
   const isEven =
     keys.length === values.length && keys.length === sequenceSteps.length;
   check(isEven, 'fact lists differ in length');
@@ -108,16 +122,30 @@
     'collected_sequence',
   );
   let sequence = afterSequence;
-  const facts = keys.map((key, i): Fact => {
+  const facts = keys.map((wireKey, i): FactUpdate => {
+    const key = wireKey === HEARTBEAT_CODE ? HEARTBEAT_KEY : wireKey;
     const step = checkCount(sequenceSteps[i], 'sequence step');
     check(step > 0, 'facts are not in ascending order');
     sequence = checkCount(sequence + step, 'sequence');
     checkName(key, 'fact key');
     const value = values[i] ?? '';
     check(value.length <= MAX_VALUE_LENGTH, 'fact value is too long');
-    return {ownerId, key, value, sequence};
+    return {key, value, sequence};
   });
-  return {ownerId, afterSequence, collectedSequence, facts};
+  return {...decodeOwner(wire), afterSequence, collectedSequence, facts};
+}
+
+function decodeOwner(
+  wire: WireDelta,
+): Pick<OwnerDelta, 'ownerId' | 'ownerShortId'> {
+  const {ownerId} = wire;
+  if (ownerId === '') {
+    const ownerShortId = checkCount(wire.ownerShortId, 'owner_short_id');
+    check(wire.afterSequence > 0, 'owner_id of an unknown owner is missing');
+    return {ownerId: undefined, ownerShortId};
+  }
+  checkOwnerId(ownerId);
+  return {ownerId, ownerShortId: shortIdOf(ownerId)};
 }
 
 /** @internal */
--- a/src/peer_grpc/peer_grpc_test.ts
+++ b/src/peer_grpc/peer_grpc_test.ts
@@ -4,7 +4,12 @@
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 import {afterEach, test} from 'node:test';
 import {ManualClock} from '../core/index.js';
-import type {Digest, OwnerDelta, PeerAddress} from '../membership/index.js';
+import {
+  shortIdOf,
+  type Digest,
+  type OwnerDelta,
+  type PeerAddress,
+} from '../membership/index.js';
 import type {PublishedDocument} from '../preset/index.js';
 import type {
   ClaimAnswer,
@@ -27,15 +32,22 @@
 const SERVER_START_MS = 5_000_000;
 
 const DELTA: OwnerDelta = {
-  ownerId: 'e-1/b',
+  ownerId: undefined,
+  ownerShortId: shortIdOf('e-1/b'),
   afterSequence: 3,
   collectedSequence: 2,
   facts: [
-    {ownerId: 'e-1/b', key: 'state', value: '"ready"', sequence: 5},
-    {ownerId: 'e-1/b', key: 'heartbeat', value: '7', sequence: 9},
+    {key: 'state', value: '"ready"', sequence: 5},
+    {key: 'heartbeat', value: '7', sequence: 9},
   ],
 };
 
+const FIRST_DELTA: OwnerDelta = {
+  ...DELTA,
+  ownerId: 'e-1/b',
+  afterSequence: 0,
+};
+
 const DOCUMENT: PublishedDocument = {
   name: 'config',
   version: {revision: 3, platformVersion: 9, sha256: 'a'.repeat(64)},
@@ -132,7 +144,7 @@
   const digest = new Map([[2 ** 52 - 1, Number.MAX_SAFE_INTEGER]]);
   const exchange = (await client.exchange(peer, digest))._unsafeUnwrap();
   assert.deepEqual(exchange, {deltas: [DELTA], digest});
-  (await client.push(peer, [DELTA]))._unsafeUnwrap();
+  (await client.push(peer, [DELTA, FIRST_DELTA]))._unsafeUnwrap();
   const claim = {
     key: 'k',
     fingerprint: 'f',
@@ -158,7 +170,7 @@
   (await client.handOver(peer, handOver))._unsafeUnwrap();
   assert.deepEqual(handler.calls, [
     digest,
-    [DELTA],
+    [DELTA, FIRST_DELTA],
     {...claim, deadlineMs: SERVER_START_MS + 1_000},
     settlement,
     {
@@ -205,6 +217,7 @@
   ['no deadline', 'Claim', {...CLAIM, remainingMs: NaN}],
   ['lists of unequal length', 'Push', {...WIRE_DELTA, values: ['1']}],
   ['facts out of order', 'Push', {...WIRE_DELTA, sequenceSteps: [1, 0]}],
+  ['no owner', 'Push', {...WIRE_DELTA, ownerId: ''}],
   ['an owner without boot id', 'Push', {...WIRE_DELTA, ownerId: 'e-1'}],
   ['a sequence too great', 'Push', {...WIRE_DELTA, afterSequence: 2 ** 60}],
 ];
--- a/src/peer_grpc/wire.ts
+++ b/src/peer_grpc/wire.ts
@@ -27,6 +27,7 @@
   readonly keys: readonly string[];
   readonly values: readonly string[];
   readonly sequenceSteps: readonly number[];
+  readonly ownerShortId?: number;
 }
 
 /** @internal */
