Reply to an exchange with the missing entries only

Change: Membership.missingFrom lists the entries in which the caller is ahead; deltaFor(..., {listedOnly: true}) answers such a reply. A reply with a whole digest is still answered correctly by deltaFor without the option.

--- a/bench/membership_cost.ts
+++ b/bench/membership_cost.ts
@@ -116,10 +116,11 @@
     const reply = this.carryResponse('Exchange', {
       time: TIME,
       deltas: peer.deltaFor(decodeDigest(request.digest)).map(encodeDelta),
-      digest: encodeDigest(peer.digest()),
+      digest: encodeDigest(peer.missingFrom(decodeDigest(request.digest))),
     });
     vm.merge(decodeAll(reply.deltas), this.nowMs);
-    const deltas = vm.deltaFor(decodeDigest(reply.digest));
+    const missing = decodeDigest(reply.digest);
+    const deltas = vm.deltaFor(missing, {listedOnly: true});
     if (deltas.length > 0) {
       const push = this.carryRequest('Push', {
         time: TIME,
--- a/src/membership/fact_store.ts
+++ b/src/membership/fact_store.ts
@@ -137,16 +137,40 @@
     return digest;
   }
 
+  /**
+   * Compares a peer's digest with this store.
+   *
+   * @param digest - the peer's digest
+   * @returns sequences known here of the owners that the peer is ahead of, and
+   *     marks of ended incarnations that the peer still lists
+   */
+  missingFrom(digest: Digest): Digest {
+    const own = this.digest();
+    const missing = new Map<number, number>();
+    for (const [shortId, sequence] of digest) {
+      const known = own.get(shortId) ?? 0;
+      const isAhead = sequence > known && !isEnd(sequence);
+      const isUnawareOfEnd = sequence < known && isEnd(known);
+      if (isAhead || isUnawareOfEnd) {
+        missing.set(shortId, known);
+      }
+    }
+    return missing;
+  }
+
   /**
    * Collects facts that a peer lacks. The first owner rotates, so that a full
    * message does not always leave out the same owners.
    *
    * @param digest - the peer's digest
+   * @param listedOnly - true to leave out owners that it does not list
    * @returns at most `maxFactsPerMessage` facts, oldest first for each owner
    */
-  deltaFor(digest: Digest): readonly OwnerDelta[] {
+  deltaFor(digest: Digest, listedOnly: boolean): readonly OwnerDelta[] {
+    const unlisted = listedOnly ? Infinity : 0;
     const behind = [...this.owners].filter(
-      ([, owner]) => owner.knownSequence > (digest.get(owner.shortId) ?? 0),
+      ([, owner]) =>
+        owner.knownSequence > (digest.get(owner.shortId) ?? unlisted),
     );
     const deltas: OwnerDelta[] = [];
     let room = this.options.maxFactsPerMessage;
@@ -250,7 +274,7 @@
   ): readonly string[] {
     const ended = new Set<number>();
     for (const [shortId, sequence] of digest) {
-      if (sequence === ENDED_SEQUENCE) {
+      if (isEnd(sequence)) {
         ended.add(shortId);
       }
     }
@@ -370,6 +394,10 @@
   }
 }
 
+function isEnd(sequence: number): boolean {
+  return sequence === ENDED_SEQUENCE;
+}
+
 function newOwner(ownerId: string): OwnerFacts {
   const shortId = shortIdOf(ownerId);
   return {shortId, facts: new Map(), knownSequence: 0, collectedSequence: 0};
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -177,18 +177,26 @@
     return this.store.digest();
   }
 
+  override missingFrom(digest: Digest): Digest {
+    return this.store.missingFrom(digest);
+  }
+
   /**
    * Collects facts that a peer lacks. Adopts the incarnations that the peer
    * marks as ended, if they are known here or if this VM has just started.
    *
-   * @param digest - the peer's digest
+   * @param digest - the peer's digest, or its reply of `missingFrom`
+   * @param options - `listedOnly`: true for a reply of `missingFrom`
    * @returns facts by owner, oldest first, bounded
    */
-  override deltaFor(digest: Digest): readonly OwnerDelta[] {
+  override deltaFor(
+    digest: Digest,
+    options: {readonly listedOnly: boolean} = {listedOnly: false},
+  ): readonly OwnerDelta[] {
     const isJoining = this.nowMs - this.startMs < REPLACE_WINDOW_MS;
     const ended = this.store.adoptEnded(digest, isJoining, this.nowMs);
     ended.forEach(ownerId => this.table.replace(ownerId, this.nowMs));
-    return this.store.deltaFor(digest);
+    return this.store.deltaFor(digest, options.listedOnly);
   }
 
   override merge(
--- a/src/membership/gossip_membership_test.ts
+++ b/src/membership/gossip_membership_test.ts
@@ -145,10 +145,11 @@
     }
     if (message.type === 'ask') {
       const delta = membership.deltaFor(message.digest);
-      const digest = membership.digest();
+      const digest = membership.missingFrom(message.digest);
       this.send(to, from, {type: 'answer', delta, digest});
     } else if (message.type === 'answer') {
-      const delta = membership.deltaFor(message.digest);
+      const {digest} = message;
+      const delta = membership.deltaFor(digest, {listedOnly: true});
       this.send(to, from.slot, {type: 'push', delta});
     }
   }
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -105,8 +105,21 @@
   /** Digest of all facts. */
   abstract digest(): Digest;
 
-  /** Facts that the owner of the digest lacks, oldest first, bounded. */
-  abstract deltaFor(digest: Digest): readonly OwnerDelta[];
+  /**
+   * Entries of a peer's digest that are ahead of this VM, with the sequence
+   * known here; a shorter reply to an exchange than the whole digest.
+   */
+  abstract missingFrom(digest: Digest): Digest;
+
+  /**
+   * Facts that the owner of the digest lacks, oldest first, bounded. With
+   * `listedOnly`, the digest is a reply of `missingFrom`, and owners that it
+   * does not list are left out.
+   */
+  abstract deltaFor(
+    digest: Digest,
+    options?: {readonly listedOnly: boolean},
+  ): readonly OwnerDelta[];
 
   /** Takes in facts; returns those that were new. */
   abstract merge(
--- a/src/peer_grpc/types.ts
+++ b/src/peer_grpc/types.ts
@@ -21,7 +21,7 @@
 export interface ExchangeAnswer {
   /** Facts that the caller lacks. */
   readonly deltas: readonly OwnerDelta[];
-  /** Digest of the callee. */
+  /** What the callee lacks: its `missingFrom` of the caller's digest. */
   readonly digest: Digest;
 }
 
