Adapt the rate of load facts to the number of members

Change: the least time between two load facts of a VM is 250 ms for up to 12 members and doubles for each further 12, at most 4 s; an option fixes it.

--- a/bench/membership_cost.ts
+++ b/bench/membership_cost.ts
@@ -35,8 +35,8 @@
 const MEASURED_ROUNDS = 80;
 const PROBE_FACTS = 10;
 
-/** Least time between two load facts of a VM; the default of the module. */
-const LOAD_INTERVAL_MS = Number(process.env['LOAD_INTERVAL_MS'] ?? ROUND_MS);
+/** Least time between two load facts; unset for the module's own choice. */
+const LOAD_INTERVAL = process.env['LOAD_INTERVAL_MS'];
 
 /** Prefix of a gRPC message, in bytes. */
 const FRAME_BYTES = 5;
@@ -75,7 +75,7 @@
           port: i,
         },
         startMs: 0,
-        loadIntervalMs: LOAD_INTERVAL_MS,
+        ...(LOAD_INTERVAL ? {loadIntervalMs: Number(LOAD_INTERVAL)} : {}),
       });
       vm.addContacts([{host: '10.0.0.1', port: 0}]);
       return vm;
@@ -269,7 +269,7 @@
   const seed = Number(process.argv[2] ?? 41);
   console.log(
     `seed ${seed}, ${TARGET_COUNT} targets, round ${ROUND_MS} ms, ` +
-      `load facts every ${LOAD_INTERVAL_MS} ms`,
+      `load interval ${LOAD_INTERVAL ?? 'adapted'}`,
   );
   console.log(
     'VMs  bytes/s (sent+received)  us/s  rounds mean/max  ' +
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -24,6 +24,11 @@
 /** A replacement that starts declares older incarnations for this long. */
 const REPLACE_WINDOW_MS = 10_000;
 
+/** Members for which the interval of load facts doubles once. */
+const LOAD_GROUP_SIZE = 12;
+
+const MAX_LOAD_INTERVAL_MS = 4_000;
+
 const LOAD_PREFIX = 'load/';
 const ADDRESS_KEY = 'address';
 const STATE_KEY = 'state';
@@ -36,7 +41,10 @@
   readonly startMs: InstantMs;
   /** Interval between two heartbeats, 250 by default. */
   readonly roundMs?: number;
-  /** Least time between two publications of a load fact, 250 by default. */
+  /**
+   * Least time between two publications of a load fact. By default one round
+   * for up to 12 members, doubled for each further 12, at most 4,000.
+   */
   readonly loadIntervalMs?: number;
   /** Silence until a member is suspected, 2,000 by default. */
   readonly suspectAfterMs?: number;
@@ -82,7 +90,7 @@
   private readonly contacts: ContactList;
   private ownState: AnnouncedState = 'starting';
   private heartbeat = 0;
-  private readonly loadIntervalMs: number;
+  private readonly fixedLoadIntervalMs: number | undefined;
   private readonly nextLoadMs = new Map<string, InstantMs>();
   private readonly pendingLoads = new Map<string, string>();
   private nextHeartbeatMs: InstantMs;
@@ -100,7 +108,7 @@
     this.nowMs = startMs;
     this.nextHeartbeatMs = startMs;
     this.roundMs = options.roundMs ?? ROUND_MS;
-    this.loadIntervalMs = options.loadIntervalMs ?? ROUND_MS;
+    this.fixedLoadIntervalMs = options.loadIntervalMs;
     this.store = new FactStore({
       selfId: this.selfId,
       maxFactsPerMessage: options.maxFactsPerMessage ?? 200,
@@ -146,7 +154,7 @@
     }
     this.store.publish(key, value, this.nowMs);
     if (isLoad) {
-      this.nextLoadMs.set(key, this.nowMs + this.loadIntervalMs);
+      this.nextLoadMs.set(key, this.nowMs + this.loadIntervalMs());
     }
   }
 
@@ -267,6 +275,15 @@
     return this.store.size();
   }
 
+  /** Bytes grow with members times rate; 24 VMs must stay below 12 KB/s. */
+  private loadIntervalMs(): number {
+    const groupCount = Math.ceil((this.table.size() + 1) / LOAD_GROUP_SIZE);
+    const adaptedMs = this.roundMs * 2 ** (groupCount - 1);
+    return (
+      this.fixedLoadIntervalMs ?? Math.min(adaptedMs, MAX_LOAD_INTERVAL_MS)
+    );
+  }
+
   private publishPendingLoads(): void {
     for (const [key, dueMs] of this.nextLoadMs) {
       if (dueMs <= this.nowMs) {
