--- a/src/membership/fact_store.ts
+++ b/src/membership/fact_store.ts
@@ -60,6 +60,8 @@
  */
 export class FactStore {
   private readonly owners = new Map<string, OwnerFacts>();
+  /** Owner ids of peers by short id. */
+  private readonly ownerIds = new Map<number, string>();
   /** By short id, as digests spread them. */
   private readonly tombstones = new Map<number, Tombstone>();
   private markers: Marker[] = [];
@@ -135,16 +137,40 @@
     return digest;
   }
 
+  /**
+   * Compares a peer's digest with this store.
+   *
+   * @param digest - the peer's digest
+   * @returns sequences known here of the owners that the peer is ahead of, and
+   *     marks of ended incarnations that the peer still lists
+   */
+  missingFrom(digest: Digest): Digest {
+    const own = this.digest();
+    const missing = new Map<number, number>();
+    for (const [shortId, sequence] of digest) {
+      const known = own.get(shortId) ?? 0;
+      const isAhead = sequence > known && !isEnd(sequence);
+      const isUnawareOfEnd = sequence < known && isEnd(known);
+      if (isAhead || isUnawareOfEnd) {
+        missing.set(shortId, known);
+      }
+    }
+    return missing;
+  }
+
   /**
    * Collects facts that a peer lacks. The first owner rotates, so that a full
    * message does not always leave out the same owners.
    *
    * @param digest - the peer's digest
+   * @param listedOnly - true to leave out owners that it does not list
    * @returns at most `maxFactsPerMessage` facts, oldest first for each owner
    */
-  deltaFor(digest: Digest): readonly OwnerDelta[] {
+  deltaFor(digest: Digest, listedOnly: boolean): readonly OwnerDelta[] {
+    const unlisted = listedOnly ? Infinity : 0;
     const behind = [...this.owners].filter(
-      ([, owner]) => owner.knownSequence > (digest.get(owner.shortId) ?? 0),
+      ([, owner]) =>
+        owner.knownSequence > (digest.get(owner.shortId) ?? unlisted),
     );
     const deltas: OwnerDelta[] = [];
     let room = this.options.maxFactsPerMessage;
@@ -159,8 +185,13 @@
       const facts = factsAfter(owner, afterSequence, room);
       room -= facts.length;
       if (facts.length > 0) {
-        const {collectedSequence} = owner;
-        deltas.push({ownerId, afterSequence, collectedSequence, facts});
+        deltas.push({
+          ownerId: afterSequence === 0 ? ownerId : undefined,
+          ownerShortId: owner.shortId,
+          afterSequence,
+          collectedSequence: owner.collectedSequence,
+          facts,
+        });
       }
     }
     return deltas;
@@ -175,10 +206,14 @@
    * @returns the facts that were new
    */
   merge(delta: OwnerDelta, nowMs: InstantMs): readonly Fact[] {
-    const {ownerId, afterSequence, collectedSequence} = delta;
+    const {afterSequence, collectedSequence} = delta;
+    const ownerId = delta.ownerId ?? this.ownerIds.get(delta.ownerShortId);
     if (ownerId === this.options.selfId || !this.passesTombstone(delta)) {
       return [];
     }
+    if (ownerId === undefined) {
+      return [];
+    }
     const owner = this.ownerOrNew(ownerId);
     if (
       collectedSequence > owner.collectedSequence &&
@@ -186,15 +221,15 @@
       owner.knownSequence < collectedSequence
     ) {
       // A deletion that this store never saw is gone; start again.
-      this.owners.delete(ownerId);
+      this.forget(ownerId);
       return [];
     }
     if (afterSequence > owner.knownSequence) {
       return [];
     }
-    const fresh = delta.facts.filter(
-      fact => fact.sequence > owner.knownSequence,
-    );
+    const fresh = delta.facts
+      .filter(fact => fact.sequence > owner.knownSequence)
+      .map(fact => ({...fact, ownerId}));
     if (!this.hasRoomFor(ownerId, owner, fresh)) {
       return [];
     }
@@ -203,6 +238,7 @@
       collectedSequence,
     );
     this.owners.set(ownerId, owner);
+    this.ownerIds.set(owner.shortId, ownerId);
     for (const fact of fresh) {
       this.put(owner, fact, nowMs);
     }
@@ -219,7 +255,7 @@
    */
   remove(ownerId: string, isFinal: boolean, nowMs: InstantMs): void {
     const sequence = this.owners.get(ownerId)?.knownSequence ?? 0;
-    this.owners.delete(ownerId);
+    this.forget(ownerId);
     this.bury(shortIdOf(ownerId), sequence, isFinal, nowMs);
   }
 
@@ -238,7 +274,7 @@
   ): readonly string[] {
     const ended = new Set<number>();
     for (const [shortId, sequence] of digest) {
-      if (sequence === ENDED_SEQUENCE) {
+      if (isEnd(sequence)) {
         ended.add(shortId);
       }
     }
@@ -287,6 +323,11 @@
     return this.owners.get(ownerId) ?? newOwner(ownerId);
   }
 
+  private forget(ownerId: string): void {
+    this.owners.delete(ownerId);
+    this.ownerIds.delete(shortIdOf(ownerId));
+  }
+
   private bury(
     shortId: number,
     sequence: number,
@@ -306,7 +347,7 @@
     if (this.tombstones.size === 0) {
       return true;
     }
-    const shortId = shortIdOf(delta.ownerId);
+    const shortId = delta.ownerShortId;
     const tombstone = this.tombstones.get(shortId);
     if (tombstone === undefined) {
       return true;
@@ -353,6 +394,10 @@
   }
 }
 
+function isEnd(sequence: number): boolean {
+  return sequence === ENDED_SEQUENCE;
+}
+
 function newOwner(ownerId: string): OwnerFacts {
   const shortId = shortIdOf(ownerId);
   return {shortId, facts: new Map(), knownSequence: 0, collectedSequence: 0};
