Add the timeline command

Cause: src/timeline renders merged events; operators need them from all VMs. Change: `timeline` asks the VMs and prints text or a trace; a VM that does not answer is named and makes the exit code 1. Stamps outside the range of dates are rejected, because printing them would throw.

--- a/src/cli/cli_test.ts
+++ b/src/cli/cli_test.ts
@@ -17,6 +17,7 @@
   type VmStatus,
 } from '../preset/index.js';
 import {sampleConfig} from '../preset/sample_documents.js';
+import type {TimelineEvent} from '../timeline/index.js';
 import {runCli} from './index.js';
 
 const folder = mkdtempSync(join(tmpdir(), 'sycamorepitch-cli-'));
@@ -57,6 +58,7 @@
 class VmBench {
   readonly config: DocumentStore<ConfigDocument> = createConfigStore();
   ready = true;
+  events: readonly TimelineEvent[] = [];
   members: readonly string[];
   private platformVersion = 0;
 
@@ -92,8 +94,11 @@
 
   /** Starts the port; returns the options that name it. */
   async listen(t: TestContext): Promise<readonly string[]> {
-    const server = createServer((_, response) => {
-      response.end(JSON.stringify(this.status()));
+    const server = createServer((request, response) => {
+      const {vmId, events} = this;
+      const answer =
+        request.url === '/timeline' ? {vmId, events} : this.status();
+      response.end(JSON.stringify(answer));
     });
     await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
     t.after(() => {
@@ -278,3 +283,31 @@
   assert.match(bad.out, /VM e-02: refused config revision 0/);
   assert.match(bad.out, /not asked: e-03/);
 });
+
+test('timeline merges the events of VMs', async t => {
+  // Guards against an order that differs from what happened, and against a
+  // missing VM that goes unnoticed.
+  const [first, second] = [new VmBench('e-01'), new VmBench('e-02')];
+  const options = [...(await first.listen(t)), ...(await second.listen(t))];
+  const event = (vmId: string, wallMs: number): TimelineEvent => ({
+    time: {wallMs, counter: 0},
+    vmId,
+    part: 'config',
+    name: `adopted-${wallMs}`,
+    details: {revision: 2},
+  });
+  first.events = [event('e-01', 1), event('e-01', 3)];
+  second.events = [event('e-02', 2)];
+  const merged = await run(['timeline', ...options]);
+  assert.equal(merged.code, 0);
+  assert.match(merged.out, /adopted-1.*\n.*e-02.*adopted-2.*\n.*adopted-3/);
+  const trace = ['timeline', '--format', 'trace', ...options, ...DEAD_VM];
+  const partial = await run(trace);
+  assert.equal(partial.code, 1);
+  assert.match(partial.err, /events are missing: 127\.0\.0\.1:1/);
+  assert.ok('traceEvents' in (JSON.parse(partial.out) as object));
+  second.events = [event('e-02', 1e300)];
+  const broken = await run(['timeline', ...options]);
+  assert.match(broken.err, /unexpected answer: events\.0\.time\.wallMs/);
+  assert.equal((await run(['timeline', ...DEAD_VM])).code, 3);
+});
--- a/src/cli/run_cli.ts
+++ b/src/cli/run_cli.ts
@@ -10,6 +10,7 @@
 import {PresetValidate} from './preset_validate.js';
 import {PresetWatch} from './preset_watch.js';
 import {StatusCommand} from './status_command.js';
+import {TimelineCommand} from './timeline_command.js';
 import type {ToolContext} from './tool_command.js';
 import {EXIT_CODES, messageOf} from './tool_error.js';
 
@@ -21,6 +22,7 @@
   PresetUse,
   PresetWatch,
   StatusCommand,
+  TimelineCommand,
 ];
 
 /**
--- a/src/cli/vm_client.ts
+++ b/src/cli/vm_client.ts
@@ -12,6 +12,9 @@
 /** Time for an answer of one VM. */
 const ANSWER_TIMEOUT_MS = 3_000;
 
+/** Range of dates that can be printed (ECMAScript time values). */
+const MAX_DATE_MS = 8.64e15;
+
 const versionSchema = z.object({
   revision: z.number(),
   platformVersion: z.number(),
@@ -53,7 +56,10 @@
   vmId: z.string(),
   events: z.array(
     z.object({
-      time: z.object({wallMs: z.number(), counter: z.number()}),
+      time: z.object({
+        wallMs: z.number().min(-MAX_DATE_MS).max(MAX_DATE_MS),
+        counter: z.number(),
+      }),
       vmId: z.string(),
       part: z.enum([
         'attempt',
