Name the end of the text in syntax errors

Cause: a trial fleet of three daemons refused a cut-off document with `found ""`, which says nothing to an operator. Change: the value is given as "the end of the text".

--- a/src/preset/jsonc_text.ts
+++ b/src/preset/jsonc_text.ts
@@ -218,7 +218,10 @@
   return errors.slice(0, MAX_SYNTAX_ISSUES).map(error => ({
     path: '',
     line: lineAt(text, error.offset),
-    value: excerpt(text.slice(error.offset, error.offset + 20)),
+    value:
+      error.offset >= text.length
+        ? 'the end of the text'
+        : excerpt(text.slice(error.offset, error.offset + 20)),
     expected: `valid JSON with comments (${printParseErrorCode(error.error)})`,
   }));
 }
--- a/src/preset/parse_test.ts
+++ b/src/preset/parse_test.ts
@@ -91,6 +91,7 @@
   const pathPrefix = '/'.repeat(400_000) + 'x';
   const slashes = {book: {...SAMPLE_KIND, pathPrefix}};
   assert.equal(issuesOf(sampleConfig(1, {kinds: slashes})).length, 2);
+  assert.equal(issuesOf('{"revision": 9').at(-1)?.value, 'the end of the text');
   for (const body of ['', 'null', '7', '[]', '{', '{"a": }', '\u0000']) {
     assert.ok(issuesOf(body).length > 0, body);
   }
