Test the daemon with faults of targets, engine and process

Cause: the wiring decides whether a late, foreign or cut answer reaches a caller, and whether a fault in one request ends the process.

--- /dev/null
+++ b/src/daemon/daemon_test.ts
@@ -0,0 +1,303 @@
+import assert from 'node:assert/strict';
+import {test, type TestContext} from 'node:test';
+import bunyan from 'bunyan';
+import {request as sendRequest} from 'undici';
+import {SeededRandom, SystemClock} from '../core/index.js';
+import type {VmStatus, VmTimeline} from '../preset/index.js';
+import {parseSettings} from '../settings/index.js';
+import {PlatformServer} from '../standins/platform_server.js';
+import {TargetLedger} from '../standins/target_ledger.js';
+import {targetSettingsSchema} from '../standins/target_settings.js';
+import {TargetStandin} from '../standins/target_standin.js';
+import {composeDaemon} from './composition_root.js';
+import type {Daemon} from './daemon.js';
+
+const HOST = '127.0.0.1';
+
+interface Fixture {
+  readonly daemon: Daemon;
+  readonly targets: readonly TargetStandin[];
+  readonly ledger: TargetLedger;
+  readonly callerPort: number;
+  readonly operatorPort: number;
+}
+
+interface Answer {
+  readonly status: number;
+  readonly verdict: string;
+  readonly reason: string;
+  readonly body: string;
+}
+
+const KIND = {urgent: false, long: false, worth: 1, timeoutMs: 1_500};
+const SERVICE = {
+  slotsPerTarget: 4,
+  connectionsPerTarget: 8,
+  probeBudgetPerSecond: 50,
+  routing: 'estimated-load',
+  longLaneShare: 1,
+  maxEjectedShare: 0.3,
+  retryBudgetShare: 1,
+  queueCapacity: 64,
+  slowStartMs: 0,
+  kinds: {
+    read: {...KIND, method: 'GET', pathPrefix: '/read', idempotent: true},
+    book: {...KIND, method: 'POST', pathPrefix: '/book', idempotent: false},
+  },
+};
+
+let nextPort = 20_100;
+
+/** Runs a daemon, a platform and targets in this process. */
+async function start(t: TestContext, targetCount: number): Promise<Fixture> {
+  const settings = targetSettingsSchema.parse({
+    seed: 1,
+    controlPort: 0,
+    kinds: [
+      {method: 'GET', pathPrefix: '/read', meanMs: 5, distribution: 'fixed'},
+      {method: 'POST', pathPrefix: '/book', meanMs: 30, distribution: 'fixed'},
+    ],
+    targets: Array.from({length: targetCount}, (_, i) => ({
+      id: `t-${i}`,
+      service: 'desk',
+      port: nextPort++,
+      slots: 4,
+    })),
+    restartAfterMs: 0,
+  });
+  const ledger = new TargetLedger();
+  const targets = settings.targets.map(
+    spec =>
+      new TargetStandin({
+        spec,
+        settings,
+        random: new SeededRandom({seed: 1}),
+        ledger,
+      }),
+  );
+  await Promise.all(targets.map(target => target.start()));
+  const platform = new PlatformServer({clock: new SystemClock()});
+  const [caller, operator, peer] = [nextPort++, nextPort++, nextPort++];
+  const config = {
+    revision: 1,
+    inForce: 'day',
+    presets: {day: {vmCeiling: 1, services: {desk: SERVICE}}},
+  };
+  const listed = settings.targets.map(({id, service, host, port}) => ({
+    id,
+    role: 'target',
+    service,
+    host,
+    port,
+    failureDomain: 'a',
+    state: 'live',
+  }));
+  platform.publish('config', Buffer.from(JSON.stringify(config)));
+  platform.publish('vms', Buffer.from(JSON.stringify({vms: listed})));
+  const platformUrl = await platform.listen(HOST, 0);
+  const daemonSettings = {
+    vmId: 'e-01',
+    failureDomain: 'a',
+    caller: {host: HOST, port: caller},
+    operator: {host: HOST, port: operator},
+    peer: {host: HOST, port: peer},
+    platformUrls: [platformUrl],
+    leaveDelayMs: 0,
+    randomSeed: 1,
+  };
+  const daemon = await composeDaemon({
+    settings: parseSettings(
+      JSON.stringify(daemonSettings),
+      's',
+    )._unsafeUnwrap(),
+    logger: bunyan.createLogger({name: 'test', level: 'fatal'}),
+  });
+  await daemon.start();
+  while (!daemon.isReady()) {
+    await new Promise(resolve => setTimeout(resolve, 10));
+  }
+  t.after(async () => {
+    await daemon.shutDown();
+    targets.forEach(target => target.stop());
+    await platform.close();
+  });
+  return {
+    daemon,
+    targets,
+    ledger,
+    callerPort: caller,
+    operatorPort: operator,
+  };
+}
+
+async function call(
+  fixture: Fixture,
+  id: string,
+  method: 'GET' | 'POST',
+  path: string,
+  headers: Record<string, string> = {},
+): Promise<Answer> {
+  const response = await sendRequest(
+    `http://${HOST}:${fixture.callerPort}${path}`,
+    {method, headers: {'x-service': 'desk', 'x-request-id': id, ...headers}},
+  );
+  return {
+    status: response.statusCode,
+    verdict: String(response.headers['x-verdict']),
+    reason: String(response.headers['x-refusal-reason'] ?? ''),
+    body: await response.body.text(),
+  };
+}
+
+function runsOf(ledger: TargetLedger, id: string): number {
+  const {runs} = JSON.parse(JSON.stringify(ledger)) as {
+    runs: Record<string, number>;
+  };
+  return runs[id] ?? 0;
+}
+
+test('concurrent requests get their own answers', async t => {
+  // Guards against answers that are swapped between callers.
+  const fixture = await start(t, 2);
+  const ids = Array.from({length: 60}, (_, i) => `r-${i}`);
+  const answers = await Promise.all(
+    ids.map(id => call(fixture, id, 'GET', '/read')),
+  );
+  for (const [i, answer] of answers.entries()) {
+    assert.equal(answer.verdict, 'ran', answer.reason);
+    assert.equal((JSON.parse(answer.body) as {id: string}).id, ids[i]);
+  }
+});
+
+test('a resent booking runs once', async t => {
+  // Guards against a second run when a caller sends a copy.
+  const fixture = await start(t, 2);
+  const key = {'idempotency-key': 'k-1'};
+  const first = {...key, 'x-attempt': '1'};
+  const second = {...key, 'x-attempt': '2'};
+  const [original, copy] = await Promise.all([
+    call(fixture, 'b', 'POST', '/book', first),
+    call(fixture, 'b', 'POST', '/book', second),
+  ]);
+  const late = await call(fixture, 'b', 'POST', '/book', second);
+  assert.deepEqual(
+    [original.status, copy.status, late.status].sort(),
+    [200, 409, 409],
+  );
+  assert.equal(runsOf(fixture.ledger, 'b'), 1);
+});
+
+test('a truncated answer to a booking is reported as may-have-run', async t => {
+  // Guards against a part of an answer passed on, and against a second run.
+  const fixture = await start(t, 2);
+  fixture.targets.forEach(target => (target.faults.truncate = true));
+  const answer = await call(fixture, 'b', 'POST', '/book');
+  assert.equal(answer.status, 502);
+  assert.equal(answer.verdict, 'may-have-run');
+  assert.equal(runsOf(fixture.ledger, 'b'), 1);
+});
+
+test('refusals of targets are retried, and not-run is true', async t => {
+  // Guards against a caller that is told not-run although the work ran.
+  const fixture = await start(t, 2);
+  fixture.targets.forEach(target => (target.faults.refuseAll = true));
+  const answer = await call(fixture, 'b', 'POST', '/book');
+  assert.equal(answer.verdict, 'not-run');
+  assert.equal(runsOf(fixture.ledger, 'b'), 0);
+  const [first] = fixture.targets;
+  first!.faults.refuseAll = false;
+  assert.equal((await call(fixture, 'c', 'POST', '/book')).status, 200);
+});
+
+test('a draining target gets no more requests', async t => {
+  // Guards against requests that start at a target which is about to end.
+  const fixture = await start(t, 2);
+  const [drained] = fixture.targets;
+  drained!.faults.draining = true;
+  for (let i = 0; i < 20; i++) {
+    await call(fixture, `warm-${i}`, 'GET', '/read');
+  }
+  drained!.faults.draining = false;
+  const answers = await Promise.all(
+    Array.from({length: 20}, (_, i) => call(fixture, `r-${i}`, 'GET', '/read')),
+  );
+  for (const {body} of answers) {
+    assert.notEqual((JSON.parse(body) as {target: string}).target, 't-0');
+  }
+});
+
+test('a request that crashes targets is quarantined', async t => {
+  // Guards against one request that takes down target after target.
+  const fixture = await start(t, 4);
+  const statuses: number[] = [];
+  for (let i = 0; i < 5; i++) {
+    const answer = await call(fixture, 'p', 'GET', '/read/poison', {
+      'x-poison': '1',
+    });
+    statuses.push(answer.status);
+  }
+  assert.equal(runsOf(fixture.ledger, 'p'), 2);
+  assert.deepEqual(statuses.slice(2), [422, 422, 422]);
+  assert.equal((await call(fixture, 'ok', 'GET', '/read')).status, 200);
+});
+
+test('connections that go silent do not stop the service', async t => {
+  // Guards against a target that is lost because of its old connections.
+  const fixture = await start(t, 1);
+  for (let i = 0; i < 20; i++) {
+    await call(fixture, `warm-${i}`, 'GET', '/read');
+  }
+  fixture.targets[0]!.silenceConnections();
+  const answers: Answer[] = [];
+  for (let i = 0; i < 12; i++) {
+    answers.push(await call(fixture, `r-${i}`, 'GET', '/read'));
+  }
+  assert.equal(answers.at(-1)?.status, 200);
+});
+
+test('an answer above the buffer limit arrives whole', async t => {
+  // Guards against long answers that are cut or never delivered.
+  const fixture = await start(t, 1);
+  const padLength = 3 * 1024 * 1024;
+  const answer = await call(fixture, 'long', 'GET', '/read', {
+    'x-pad-bytes': String(padLength),
+  });
+  const {id, pad} = JSON.parse(answer.body) as {id: string; pad: string};
+  assert.equal(id, 'long');
+  assert.equal(pad.length, padLength);
+});
+
+test('operators see status, time line, metrics and readiness', async t => {
+  // Guards against a VM that cannot be observed, and one that hides leaving.
+  const fixture = await start(t, 1);
+  await call(fixture, 'r', 'GET', '/read');
+  const get = (path: string): ReturnType<typeof sendRequest> =>
+    sendRequest(`http://${HOST}:${fixture.operatorPort}${path}`);
+  const status = (await (await get('/status')).body.json()) as VmStatus;
+  assert.equal(status.documents.config.inForce, 'day');
+  assert.equal(status.ready, true);
+  const timeline = (await (await get('/timeline')).body.json()) as VmTimeline;
+  assert.ok(timeline.events.some(event => event.name === 'ready'));
+  const metrics = await (await get('/metrics')).body.text();
+  assert.match(metrics, /sycamorepitch_requests_total\{service="desk"\} 1/);
+  assert.equal((await get('/healthz')).statusCode, 200);
+  assert.equal((await get('/readyz')).statusCode, 200);
+  assert.equal((await get('/nowhere')).statusCode, 404);
+});
+
+test('a planned shutdown finishes the requests in flight', async t => {
+  // Guards against bookings that are cut off when a VM is replaced.
+  const fixture = await start(t, 1);
+  const open = Array.from({length: 6}, (_, i) =>
+    call(fixture, `b-${i}`, 'POST', '/book'),
+  );
+  while (runsOf(fixture.ledger, 'b-0') === 0) {
+    await new Promise(resolve => setTimeout(resolve, 1));
+  }
+  const ended = fixture.daemon.shutDown();
+  assert.equal(fixture.daemon.isReady(), false);
+  const answers = await Promise.all(open);
+  assert.ok(answers.every(answer => answer.verdict === 'ran'));
+  await ended;
+  await assert.rejects(call(fixture, 'late', 'GET', '/read'));
+});
--- /dev/null
+++ b/src/daemon/effect_runner_test.ts
@@ -0,0 +1,234 @@
+import assert from 'node:assert/strict';
+import type {ServerResponse} from 'node:http';
+import {test} from 'node:test';
+import bunyan from 'bunyan';
+import {
+  CallerServer,
+  DEFAULT_CALLER_LIMITS,
+  Exchange,
+} from '../caller_http/index.js';
+import {ManualClock} from '../core/index.js';
+import type {
+  AttemptSignal,
+  Effect,
+  Outcome,
+  RequestEngine,
+} from '../engine/index.js';
+import {
+  TargetResponse,
+  type SendOptions,
+  type TargetClient,
+} from '../target_http/index.js';
+import type {ClaimRouter} from './claim_router.js';
+import {ComponentLog} from './component_log.js';
+import {DaemonMetrics} from './daemon_metrics.js';
+import {EffectRunner} from './effect_runner.js';
+import type {EventLog} from './event_log.js';
+
+/** Records what the server is told, in place of the sockets. */
+class RecordingServer extends CallerServer {
+  readonly answers: [string, Outcome, TargetResponse | undefined][] = [];
+  readonly open = new Map<string, Exchange>();
+
+  override find(requestId: string): Exchange | undefined {
+    return this.open.get(requestId);
+  }
+
+  override respond(
+    requestId: string,
+    outcome: Outcome,
+    response: TargetResponse | undefined,
+  ): void {
+    this.open.delete(requestId);
+    this.answers.push([requestId, outcome, response]);
+  }
+}
+
+interface Fixture {
+  readonly runner: EffectRunner;
+  readonly server: RecordingServer;
+  readonly sends: SendOptions[];
+  readonly cancelled: string[];
+  readonly open: (requestId: string) => Exchange;
+}
+
+function createFixture(
+  engine: Partial<RequestEngine>,
+  onSend: (options: SendOptions) => void = () => undefined,
+): Fixture {
+  const sends: SendOptions[] = [];
+  const cancelled: string[] = [];
+  const clock = new ManualClock();
+  const runner = new EffectRunner({
+    clock,
+    engine: engine as RequestEngine,
+    targets: {
+      send: (options: SendOptions) => {
+        sends.push(options);
+        onSend(options);
+      },
+      cancel: (token: string) => cancelled.push(token),
+    } as unknown as TargetClient,
+    claims: {} as ClaimRouter,
+    events: {} as EventLog,
+    metrics: new DaemonMetrics(),
+    log: new ComponentLog(
+      bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1}),
+      'test',
+    ),
+    publish: () => undefined,
+  });
+  const limits = DEFAULT_CALLER_LIMITS;
+  const server = new RecordingServer({clock, limits, listener: runner});
+  runner.attach(server);
+  const open = (requestId: string): Exchange => {
+    const request = {
+      requestId,
+      service: 's',
+      method: 'GET',
+      path: '/',
+      fingerprint: 'f',
+      bodySizeBytes: 0,
+      idempotencyKey: undefined,
+      attempt: undefined,
+      deadlineMs: undefined,
+    };
+    const response = {} as ServerResponse;
+    const exchange = new Exchange(request, {}, undefined, response, () => {});
+    server.open.set(requestId, exchange);
+    return exchange;
+  };
+  return {runner, server, sends, cancelled, open};
+}
+
+function sendEffect(token: string, requestId: string): Effect {
+  return {
+    type: 'send',
+    token,
+    requestId,
+    targetId: 't',
+    host: '127.0.0.1',
+    port: 1,
+    freshness: 'any',
+    maxConnections: 1,
+    silenceLimitMs: undefined,
+    deadlineMs: 1_000,
+  };
+}
+
+function responseFor(token: string): TargetResponse {
+  const response = new TargetResponse(
+    token,
+    200,
+    {},
+    {
+      pause: () => undefined,
+      resume: () => undefined,
+      abort: () => undefined,
+    },
+  );
+  response.finish();
+  return response;
+}
+
+const ANSWERED: AttemptSignal = {
+  type: 'response',
+  status: 200,
+  refused: false,
+  draining: false,
+  inFlight: undefined,
+};
+
+test('a fault in the engine answers its request and no other', () => {
+  // Guards against a bug in one request that ends the process or leaves the
+  // caller waiting, and against calling the request not-run.
+  const {runner, server, open} = createFixture({
+    onRequest: request => {
+      if (request.requestId === 'bad') {
+        throw new Error('bug');
+      }
+      return [];
+    },
+  });
+  runner.onRequest(open('good'));
+  runner.onRequest(open('bad'));
+  assert.equal(server.answers.length, 1);
+  const [requestId, outcome] = server.answers[0]!;
+  assert.equal(requestId, 'bad');
+  assert.ok(outcome.type === 'refusal' && outcome.verdict === 'may-have-run');
+});
+
+test('a response never answers another request', () => {
+  // Guards against an outcome that names the token of another request.
+  const {runner, server, sends, open} = createFixture({
+    onAttemptSignal: token =>
+      token === 'a1'
+        ? [
+            {
+              type: 'respond',
+              requestId: 'b',
+              outcome: {type: 'response', token: 'a1'},
+            },
+          ]
+        : [],
+  });
+  open('a');
+  open('b');
+  runner.feed(() => [sendEffect('a1', 'a'), sendEffect('b1', 'b')]);
+  sends[0]!.listener(ANSWERED, responseFor('a1'));
+  assert.deepEqual(
+    server.answers.map(([id, , response]) => [id, response]),
+    [['b', undefined]],
+  );
+});
+
+test('a cancellation on sent takes effect before the first byte', () => {
+  // Guards against a request that is written after its deadline.
+  let cancelledInTime = false;
+  const {runner, cancelled, open} = createFixture(
+    {
+      onAttemptSignal: (token, signal) =>
+        signal.type === 'sent' ? [{type: 'cancel', token}] : [],
+    },
+    // An idle connection reports sent while the effect still runs.
+    options => {
+      options.listener({type: 'sent'}, undefined);
+      cancelledInTime = cancelled.includes('a1');
+    },
+  );
+  open('a');
+  runner.feed(() => [sendEffect('a1', 'a')]);
+  assert.ok(cancelledInTime);
+});
+
+test('a request whose caller has gone is not sent', () => {
+  // Guards against work for nobody after the caller left in the queue.
+  const signals: AttemptSignal[] = [];
+  const {runner, sends} = createFixture({
+    onAttemptSignal: (_token, signal) => {
+      signals.push(signal);
+      return [];
+    },
+  });
+  runner.feed(() => [sendEffect('a1', 'gone')]);
+  assert.equal(sends.length, 0);
+  assert.deepEqual(signals, [{type: 'cancelled', bytesSent: false}]);
+});
+
+test('effects keep their order when inputs nest', () => {
+  // Guards against an answer that overtakes the effects before it.
+  const {runner, open, server, cancelled} = createFixture(
+    {
+      onAttemptSignal: token => [
+        {type: 'respond', requestId: 'a', outcome: {type: 'response', token}},
+      ],
+    },
+    options => options.listener(ANSWERED, responseFor('a1')),
+  );
+  open('a');
+  const answersAtCancel: number[] = [];
+  cancelled.push = () => answersAtCancel.push(server.answers.length);
+  runner.feed(() => [sendEffect('a1', 'a'), {type: 'cancel', token: 'x'}]);
+  assert.deepEqual(answersAtCancel, [0]);
+  assert.equal(server.answers[0]?.[2]?.token, 'a1');
+});
