--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -5,10 +5,11 @@
  */
 export * from './types.js';
 export {type PeerAddress} from './contact_list.js';
-export {FactLimitError} from './fact_store.js';
+export {FactLimitError, shortIdOf} from './fact_store.js';
 export {
   GossipMembership,
   ROUND_MS,
   type GossipMembershipOptions,
 } from './gossip_membership.js';
+export {LoadCountsCodec} from './load_counts.js';
 export {ownerIdOf} from './member_table.js';
