Lose no request when the caller port closes

Change: the port closes after 100 ms without a new connection, at most 2 s later, and open connections get 250 ms more for requests on their way. Fleets for tests and demonstrations use a random free range of ports.

Conclusion: callers that keep connecting for more than 2 s after not ready can still meet a closing port.

--- a/bench/request_path.sh
+++ b/bench/request_path.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seed=${1:-1} rate=${2:-500} seconds=${3:-5} rounds=${4:-3}
-base=${BENCH_PORT:-18400}
+base=$(bash scripts/free_base_port.sh)
 program=dist/bench/request_path.js
 folder=$(mktemp -d)
 pids=()
--- a/scripts/lunch_hour.sh
+++ b/scripts/lunch_hour.sh
@@ -13,6 +13,6 @@
   rm -rf "$folder"
 }
 trap finish EXIT
-bash scripts/start_fleet.sh "$folder" "$@"
+bash scripts/start_fleet.sh "$folder" --base-port "$(bash scripts/free_base_port.sh)" "$@"
 echo "lunch hour: sending requests"
 node dist/src/standins/caller_main.js "$folder/caller.json"
--- a/src/caller_http/caller_server.ts
+++ b/src/caller_http/caller_server.ts
@@ -9,8 +9,8 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
-import {hashText, type Clock} from '../core/index.js';
+import {Server as NetServer, type AddressInfo, type Socket} from 'node:net';
+import {hashText, type Clock, type InstantMs} from '../core/index.js';
 import type {Outcome} from '../engine/index.js';
 import type {TargetResponse} from '../target_http/index.js';
 import {Exchange, writeRefusal, type RefusalFields} from './exchange.js';
@@ -79,6 +79,7 @@
   private readonly bySocket = new WeakMap<Socket, Set<string>>();
   private readonly brokenSockets = new WeakSet<Socket>();
   private requestCount = 0;
+  private lastConnectionMs = -Infinity;
   private stopping = false;
 
   /** @param options - clock, limits and listener */
@@ -115,6 +116,11 @@
     );
   }
 
+  /** Instant at which a caller last connected. */
+  get connectedMs(): InstantMs {
+    return this.lastConnectionMs;
+  }
+
   /** Number of requests whose answer is not complete. */
   get openCount(): number {
     return this.exchanges.size;
@@ -189,27 +195,24 @@
   }
 
   /**
-   * Stops accepting connections, closes idle ones and lets open requests
-   * finish.
-   *
-   * @returns when the last connection is closed
+   * Stops accepting connections. Open ones stay, since a request may be on its
+   * way on each of them; those that carry one are closed after its answer.
    */
-  stop(): Promise<void> {
+  stopListening(): void {
     this.stopping = true;
-    const stopped = new Promise<void>(resolve => {
-      this.server.close(() => resolve());
-    });
-    this.server.closeIdleConnections();
-    return stopped;
+    // `close` of node:http would also cut connections whose request has
+    // arrived but was not read yet.
+    NetServer.prototype.close.call(this.server);
   }
 
   /** Closes all connections at once. */
   destroy(): void {
-    this.server.close();
+    this.stopListening();
     this.server.closeAllConnections();
   }
 
   private onConnection(socket: Socket): void {
+    this.lastConnectionMs = this.options.clock.nowMs();
     this.bySocket.set(socket, new Set());
     socket.on('close', () => {
       for (const requestId of this.bySocket.get(socket) ?? []) {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -45,6 +45,18 @@
 /** Rounds in which the departure is announced before the process ends. */
 const FAREWELL_ROUNDS = 4;
 
+/** Time without a new connection after which the caller port is closed. */
+const QUIET_MS = 100;
+
+/** Longest wait for callers to stop connecting. */
+const MAX_QUIET_WAIT_MS = 2_000;
+
+/**
+ * Time in which requests that were on their way when the caller port closed
+ * are still read and answered.
+ */
+const LINGER_MS = 250;
+
 /** Interval at which a planned shutdown looks for open requests. */
 const SHUTDOWN_POLL_MS = 20;
 
@@ -74,6 +86,12 @@
   readonly log: ComponentLog;
 }
 
+/** Ports that a daemon listens on. */
+export interface DaemonPorts {
+  readonly caller: number;
+  readonly operator: number;
+}
+
 type Lifecycle = 'starting' | 'ready' | 'leaving';
 
 /** Runs the parts and decides on the lifecycle of the VM. */
@@ -99,9 +117,10 @@
   /**
    * Opens the ports and starts the periodic work.
    *
+   * @returns the ports, of use when the settings ask for any free one
    * @throws the error of `listen`, for example when a port is in use
    */
-  async start(): Promise<void> {
+  async start(): Promise<DaemonPorts> {
     const {settings, callers, documents, reader, membership} = this.parts;
     documents.attach(this, reader);
     membership.addContacts(settings.seeds);
@@ -124,6 +143,7 @@
     this.parts.log.info(
       `VM ${settings.vmId} listens, callers on port ${callerPort}, operators on port ${operatorPort}`,
     );
+    return {caller: callerPort, operator: operatorPort};
   }
 
   /**
@@ -330,7 +350,9 @@
     this.state = 'leaving';
     callers.beginDrain();
     await sleep(settings.leaveDelayMs);
-    const stopped = callers.stop();
+    await this.waitForQuiet();
+    callers.stopListening();
+    await sleep(LINGER_MS);
     await this.waitUntil(() => callers.openCount === 0);
     await this.waitUntil(() => engine.inFlightCount() === 0);
     await this.waitUntil(() => this.parts.claims.openSettlementCount === 0);
@@ -343,11 +365,23 @@
     await this.parts.peerServer.stop();
     await this.parts.transport.close();
     callers.destroy();
-    await stopped;
     log.info('all requests are finished, ending');
     this.markEnded();
   }
 
+  /**
+   * Waits until no caller connects any more. Closing the port resets
+   * connections that the operating system has taken but this process has not.
+   */
+  private async waitForQuiet(): Promise<void> {
+    const {callers, clock} = this.parts;
+    const latestMs = clock.nowMs() + MAX_QUIET_WAIT_MS;
+    await this.waitUntil(() => {
+      const nowMs = clock.nowMs();
+      return nowMs - callers.connectedMs > QUIET_MS || nowMs > latestMs;
+    });
+  }
+
   private async waitUntil(condition: () => boolean): Promise<void> {
     while (!condition()) {
       await sleep(SHUTDOWN_POLL_MS);
--- a/src/daemon/daemon_test.ts
+++ b/src/daemon/daemon_test.ts
@@ -46,8 +46,6 @@
   },
 };
 
-let nextPort = 20_100;
-
 /** Runs a daemon, a platform and targets in this process. */
 async function start(t: TestContext, targetCount: number): Promise<Fixture> {
   const settings = targetSettingsSchema.parse({
@@ -60,7 +58,7 @@
     targets: Array.from({length: targetCount}, (_, i) => ({
       id: `t-${i}`,
       service: 'desk',
-      port: nextPort++,
+      port: 0,
       slots: 4,
     })),
     restartAfterMs: 0,
@@ -75,20 +73,19 @@
         ledger,
       }),
   );
-  await Promise.all(targets.map(target => target.start()));
+  const ports = await Promise.all(targets.map(target => target.start()));
   const platform = new PlatformServer({clock: new SystemClock()});
-  const [caller, operator, peer] = [nextPort++, nextPort++, nextPort++];
   const config = {
     revision: 1,
     inForce: 'day',
     presets: {day: {vmCeiling: 1, services: {desk: SERVICE}}},
   };
-  const listed = settings.targets.map(({id, service, host, port}) => ({
+  const listed = settings.targets.map(({id, service, host}, i) => ({
     id,
     role: 'target',
     service,
     host,
-    port,
+    port: ports[i],
     failureDomain: 'a',
     state: 'live',
   }));
@@ -98,9 +95,9 @@
   const daemonSettings = {
     vmId: 'e-01',
     failureDomain: 'a',
-    caller: {host: HOST, port: caller},
-    operator: {host: HOST, port: operator},
-    peer: {host: HOST, port: peer},
+    caller: {host: HOST, port: 0},
+    operator: {host: HOST, port: 0},
+    peer: {host: HOST, port: 0},
     platformUrls: [platformUrl],
     leaveDelayMs: 0,
     randomSeed: 1,
@@ -112,7 +109,7 @@
     )._unsafeUnwrap(),
     logger: bunyan.createLogger({name: 'test', level: 'fatal'}),
   });
-  await daemon.start();
+  const {caller, operator} = await daemon.start();
   while (!daemon.isReady()) {
     await new Promise(resolve => setTimeout(resolve, 10));
   }
--- a/tests/processes/kill_parts.sh
+++ b/tests/processes/kill_parts.sh
@@ -8,6 +8,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 seed=${1:-1}
+base=$(bash scripts/free_base_port.sh)
 folder=$(mktemp -d)
 finish() {
   bash scripts/stop_fleet.sh "$folder" || true
@@ -16,7 +17,7 @@
 trap finish EXIT
 
 bash scripts/start_fleet.sh "$folder" --seed "$seed" --vms 3 \
-  --base-port "${TEST_BASE_PORT:-19000}" --duration-ms 16000 --base-rate 30 --peak-rate 40
+  --base-port "$base" --duration-ms 16000 --base-rate 30 --peak-rate 40
 node -e '
   const fs = require("node:fs");
   const file = process.argv[1] + "/caller.json";
@@ -41,7 +42,7 @@
 sleep 4
 # The ledger of the killed process is lost with it, so it is read first: work
 # that ran there must not run again elsewhere.
-curl -s "http://127.0.0.1:$((${TEST_BASE_PORT:-19000} + 2))/ledger" >"$folder/ledger-before.json"
+curl -s "http://127.0.0.1:$((base + 2))/ledger" >"$folder/ledger-before.json"
 kill_part targets-2
 failed=0
 wait "$caller" || failed=$?
--- a/tests/processes/planned_stop.sh
+++ b/tests/processes/planned_stop.sh
@@ -7,7 +7,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 seed=${1:-1}
-base=${TEST_BASE_PORT:-19400}
+base=$(bash scripts/free_base_port.sh)
 folder=$(mktemp -d)
 finish() {
   bash scripts/stop_fleet.sh "$folder" || true
