--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -24,6 +24,11 @@
 /** A replacement that starts declares older incarnations for this long. */
 const REPLACE_WINDOW_MS = 10_000;
 
+/** Members for which the interval of load facts doubles once. */
+const LOAD_GROUP_SIZE = 12;
+
+const MAX_LOAD_INTERVAL_MS = 4_000;
+
 const LOAD_PREFIX = 'load/';
 const ADDRESS_KEY = 'address';
 const STATE_KEY = 'state';
@@ -36,7 +41,10 @@
   readonly startMs: InstantMs;
   /** Interval between two heartbeats, 250 by default. */
   readonly roundMs?: number;
-  /** Least time between two publications of a load fact, 250 by default. */
+  /**
+   * Least time between two publications of a load fact. By default one round
+   * for up to 12 members, doubled for each further 12, at most 4,000.
+   */
   readonly loadIntervalMs?: number;
   /** Silence until a member is suspected, 2,000 by default. */
   readonly suspectAfterMs?: number;
@@ -82,7 +90,7 @@
   private readonly contacts: ContactList;
   private ownState: AnnouncedState = 'starting';
   private heartbeat = 0;
-  private readonly loadIntervalMs: number;
+  private readonly fixedLoadIntervalMs: number | undefined;
   private readonly nextLoadMs = new Map<string, InstantMs>();
   private readonly pendingLoads = new Map<string, string>();
   private nextHeartbeatMs: InstantMs;
@@ -100,7 +108,7 @@
     this.nowMs = startMs;
     this.nextHeartbeatMs = startMs;
     this.roundMs = options.roundMs ?? ROUND_MS;
-    this.loadIntervalMs = options.loadIntervalMs ?? ROUND_MS;
+    this.fixedLoadIntervalMs = options.loadIntervalMs;
     this.store = new FactStore({
       selfId: this.selfId,
       maxFactsPerMessage: options.maxFactsPerMessage ?? 200,
@@ -146,7 +154,7 @@
     }
     this.store.publish(key, value, this.nowMs);
     if (isLoad) {
-      this.nextLoadMs.set(key, this.nowMs + this.loadIntervalMs);
+      this.nextLoadMs.set(key, this.nowMs + this.loadIntervalMs());
     }
   }
 
@@ -177,18 +185,26 @@
     return this.store.digest();
   }
 
+  override missingFrom(digest: Digest): Digest {
+    return this.store.missingFrom(digest);
+  }
+
   /**
    * Collects facts that a peer lacks. Adopts the incarnations that the peer
    * marks as ended, if they are known here or if this VM has just started.
    *
-   * @param digest - the peer's digest
+   * @param digest - the peer's digest, or its reply of `missingFrom`
+   * @param options - `listedOnly`: true for a reply of `missingFrom`
    * @returns facts by owner, oldest first, bounded
    */
-  override deltaFor(digest: Digest): readonly OwnerDelta[] {
+  override deltaFor(
+    digest: Digest,
+    options: {readonly listedOnly: boolean} = {listedOnly: false},
+  ): readonly OwnerDelta[] {
     const isJoining = this.nowMs - this.startMs < REPLACE_WINDOW_MS;
     const ended = this.store.adoptEnded(digest, isJoining, this.nowMs);
     ended.forEach(ownerId => this.table.replace(ownerId, this.nowMs));
-    return this.store.deltaFor(digest);
+    return this.store.deltaFor(digest, options.listedOnly);
   }
 
   override merge(
@@ -200,7 +216,7 @@
     for (const delta of deltas) {
       const facts = this.store.merge(delta, nowMs);
       fresh.push(...facts);
-      this.interpret(delta.ownerId, facts, nowMs);
+      this.interpret(facts, nowMs);
     }
     if (this.table.hasChanges()) {
       this.readyCache = undefined;
@@ -259,6 +275,15 @@
     return this.store.size();
   }
 
+  /** Bytes grow with members times rate; 24 VMs must stay below 12 KB/s. */
+  private loadIntervalMs(): number {
+    const groupCount = Math.ceil((this.table.size() + 1) / LOAD_GROUP_SIZE);
+    const adaptedMs = this.roundMs * 2 ** (groupCount - 1);
+    return (
+      this.fixedLoadIntervalMs ?? Math.min(adaptedMs, MAX_LOAD_INTERVAL_MS)
+    );
+  }
+
   private publishPendingLoads(): void {
     for (const [key, dueMs] of this.nextLoadMs) {
       if (dueMs <= this.nowMs) {
@@ -283,11 +308,9 @@
     return live.map(member => ownerIdOf(member.incarnation));
   }
 
-  private interpret(
-    ownerId: string,
-    facts: readonly Fact[],
-    nowMs: InstantMs,
-  ): void {
+  /** Applies new facts of one owner to the table of members. */
+  private interpret(facts: readonly Fact[], nowMs: InstantMs): void {
+    const ownerId = facts[0]?.ownerId ?? '';
     const incarnation = this.incarnationOf(ownerId);
     if (incarnation === undefined) {
       return;
