Check at-most-once and truthful answers with separate processes

The stand-ins gain a ledger file that survives SIGKILL, a trace of the caller, copies at the same instant, responses in two halves, and a relay for links between daemons. scripts/test.sh runs two checks with processes at a time.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,9 +11,17 @@
   files+=("dist/${source%.ts}.js")
 done
 node --test --test-concurrency=4 "$@" "${files[@]}"
-if [ "${PROCESSES:-1}" = 1 ]; then
-  for check in tests/processes/*.sh; do
-    echo "# $check"
-    bash "$check"
-  done
-fi
+[ "${PROCESSES:-1}" = 1 ] || exit 0
+# Each check takes ports of its own. Two at once keep the load of the machine low.
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+run_check() {
+  local log="$1/$(basename "$2" .sh).log" status=0
+  bash "$2" >"$log" 2>&1 || status=$?
+  echo "# $2: exit code $status"
+  cat "$log"
+  return "$status"
+}
+export -f run_check
+printf '%s\0' tests/processes/*.sh |
+  xargs -0 -n 1 -P 2 bash -c 'run_check "$@"' run_check "$folder"
--- a/src/standins/caller_run.ts
+++ b/src/standins/caller_run.ts
@@ -12,6 +12,8 @@
   type FinalResult,
   type LedgerCheck,
 } from './caller_report.js';
+import {CallerTrace} from './caller_trace.js';
+import {EntryReadiness} from './entry_readiness.js';
 import type {CallerKind, CallerSettings} from './caller_settings.js';
 
 /** Time that a caller waits beyond its stated timeout. */
@@ -26,6 +28,8 @@
   readonly kind: CallerKind;
   readonly plannedMs: number;
   readonly firstEntry: number;
+  /** Sent through two entries at once. */
+  readonly isTwin: boolean;
 }
 
 /** What one sending showed. */
@@ -38,6 +42,8 @@
   private readonly refusedIds = new Set<string>();
   private readonly onceIds = new Set<string>();
   private readonly runId: string;
+  private readonly trace: CallerTrace | undefined;
+  private readonly readiness: EntryReadiness;
 
   /**
    * @param settings - settings of the run
@@ -48,6 +54,10 @@
     private readonly random: RandomSource,
   ) {
     this.runId = `${settings.seed}-${process.pid}`;
+    const {tracePath, entries, readyPorts} = settings;
+    this.trace =
+      tracePath === undefined ? undefined : new CallerTrace(tracePath);
+    this.readiness = new EntryReadiness(entries, readyPorts);
     for (const kind of settings.kinds) {
       this.reports.set(kind.name, new KindReport(kind.worth));
     }
@@ -60,6 +70,7 @@
    */
   async run(): Promise<CallerReport> {
     const {durationMs, seed} = this.settings;
+    await this.readiness.start();
     const startMs = performance.now();
     const open: Promise<void>[] = [];
     let count = 0;
@@ -74,6 +85,7 @@
       offsetMs += this.nextGapMs(offsetMs);
     }
     await Promise.all(open);
+    this.readiness.stop();
     const ledger = await this.checkLedgers();
     await this.agent.close();
     return {seed, durationMs, kinds: this.reports, ledger};
@@ -87,7 +99,11 @@
   private plan(index: number, plannedMs: number): Arrival {
     const kind = this.drawKind();
     const firstEntry = this.random.nextInt(this.settings.entries.length);
-    return {id: `${this.runId}-${index}`, kind, plannedMs, firstEntry};
+    const isTwin =
+      !kind.idempotent &&
+      this.settings.twinShare > 0 &&
+      this.random.nextFloat() < this.settings.twinShare;
+    return {id: `${this.runId}-${index}`, kind, plannedMs, firstEntry, isTwin};
   }
 
   private drawKind(): CallerKind {
@@ -111,8 +127,11 @@
       this.onceIds.add(id);
     }
     let attempt = 1;
-    let sendings = 1;
-    let last: Sending = await this.send(arrival, attempt, sendings);
+    let sendings = arrival.isTwin ? 2 : 1;
+    const first = Array.from({length: sendings}, (_, i) =>
+      this.send(arrival, i === 0 ? 1 : this.settings.twinAttempt, i + 1),
+    );
+    let last = mostInformative(await Promise.all(first));
     let everUncertain = last === 'uncertain' || last === 'no-answer';
     while (isOpen(last) && sendings < this.settings.maxSendings) {
       await sleep(RESEND_PAUSE_MS);
@@ -151,8 +170,26 @@
     sendings: number,
   ): Promise<Sending> {
     const {kind, id} = arrival;
-    const {entries} = this.settings;
+    const entries = this.readiness.usable();
     const entry = entries[(arrival.firstEntry + sendings - 1) % entries.length];
+    const record = {
+      id,
+      kind: kind.name,
+      idempotent: kind.idempotent,
+      sending: `${id}#${sendings}`,
+      entryPort: entry?.port ?? 0,
+      sentAtMs: Date.now(),
+    };
+    const finish = (
+      result: Sending,
+      status: number,
+      verdict: string,
+      reason: string,
+    ): Sending => {
+      const doneAtMs = Date.now();
+      this.trace?.write({...record, doneAtMs, result, status, verdict, reason});
+      return result;
+    };
     try {
       const response = await sendRequest(
         `http://${entry?.host}:${entry?.port}${kind.path}`,
@@ -162,9 +199,11 @@
           headers: {
             'x-service': kind.service,
             'x-request-id': id,
+            'x-sending-id': record.sending,
             'x-attempt': String(attempt),
             'x-timeout-ms': String(kind.timeoutMs),
             ...(kind.idempotent ? {} : {'idempotency-key': id}),
+            ...kind.headers,
           },
           body: kind.bodyBytes > 0 ? requestBody(id, kind.bodyBytes) : null,
           signal: AbortSignal.timeout(kind.timeoutMs + ANSWER_GRACE_MS),
@@ -172,11 +211,15 @@
       );
       const body = await response.body.text();
       const verdict = String(response.headers['x-verdict']);
-      return classify(response.statusCode, verdict, body, id);
+      const {statusCode, headers} = response;
+      const result = classify(statusCode, verdict, body, record);
+      const reason = String(headers['x-refusal-reason'] ?? '');
+      return finish(result, statusCode, verdict, reason);
     } catch (error) {
       // A refused connection carried no byte of the request.
       const {code} = error as NodeJS.ErrnoException;
-      return code === 'ECONNREFUSED' ? 'not-run' : 'no-answer';
+      const result = code === 'ECONNREFUSED' ? 'not-run' : 'no-answer';
+      return finish(result, 0, 'none', code ?? String(error));
     }
   }
 
@@ -250,6 +293,20 @@
   return JSON.stringify({id, pad: 'y'.repeat(sizeBytes)});
 }
 
+/** The result of several copies sent at once. */
+function mostInformative(results: readonly Sending[]): Sending {
+  const order: readonly Sending[] = [
+    'wrong',
+    'answered',
+    'already-ran',
+    'uncertain',
+    'no-answer',
+    'failed',
+    'not-run',
+  ];
+  return order.find(result => results.includes(result)) ?? 'failed';
+}
+
 /** True if the request should be sent again. */
 function isOpen(sending: Sending): boolean {
   return ['not-run', 'uncertain', 'no-answer'].includes(sending);
@@ -271,7 +328,7 @@
   status: number,
   verdict: string,
   body: string,
-  id: string,
+  sent: {readonly id: string; readonly sending: string},
 ): Sending {
   if (verdict === 'not-run') {
     return 'not-run';
@@ -286,8 +343,9 @@
     return 'failed';
   }
   try {
-    const answer = JSON.parse(body) as {readonly id?: unknown};
-    return answer.id === id ? 'answered' : 'wrong';
+    const answer = JSON.parse(body) as Partial<typeof sent>;
+    const isOwn = answer.id === sent.id && answer.sending === sent.sending;
+    return isOwn ? 'answered' : 'wrong';
   } catch {
     return 'wrong';
   }
--- a/src/standins/fleet_files.ts
+++ b/src/standins/fleet_files.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import {join} from 'node:path';
 import type {DaemonSettings} from '../settings/index.js';
 
 const HOST = '127.0.0.1';
@@ -10,6 +11,9 @@
 /** Greatest number of entry VMs, also the distance between port ranges. */
 const MAX_VMS = 50;
 
+/** Distance of the relay's first port from the first port of the fleet. */
+const RELAY_OFFSET = 300;
+
 /** Size of a fleet. */
 export interface FleetShape {
   readonly seed: number;
@@ -25,6 +29,8 @@
   readonly baseRate: number;
   readonly peakRate: number;
   readonly leaveDelayMs: number;
+  /** Folder for ledgers of targets and the caller's trace; no files if absent. */
+  readonly recordFolder?: string;
 }
 
 /** A small fleet under a short lunch hour. */
@@ -138,6 +144,7 @@
     files.set(`daemon-${i + 1}.json`, daemonSettings(shape, i));
   }
   files.set('caller.json', callerSettings(shape));
+  files.set('relay.json', relaySettings(shape));
   return files;
 }
 
@@ -255,6 +262,7 @@
       port,
       slots: 6,
     })),
+    ...recordPath(shape, 'ledgerPath', `targets-${index + 1}.ledger`),
     neighbours: {meanGapMs: 5_000, durationMs: 300, factor: 4},
     reportLagMs: 20,
   };
@@ -286,6 +294,28 @@
   };
 }
 
+/** A setting with the path of a record, or none. */
+function recordPath(shape: FleetShape, key: string, name: string): object {
+  const {recordFolder} = shape;
+  return recordFolder === undefined ? {} : {[key]: join(recordFolder, name)};
+}
+
+/** A link of the relay for each ordered pair of entry VMs. */
+function relaySettings(shape: FleetShape): unknown {
+  const vms = Array.from({length: shape.vmCount}, (_, i) => i);
+  const links = vms.flatMap(from =>
+    vms
+      .filter(to => to !== from)
+      .map(to => ({
+        from: vmIdOf(from),
+        to: vmIdOf(to),
+        listenPort: shape.basePort + RELAY_OFFSET + from * shape.vmCount + to,
+        targetPort: portsOf(shape, to).peer,
+      })),
+  );
+  return {controlPort: shape.basePort + RELAY_OFFSET - 1, links};
+}
+
 function callerSettings(shape: FleetShape): unknown {
   const {durationMs, baseRate, peakRate} = shape;
   return {
@@ -294,6 +324,7 @@
       host: HOST,
       port: portsOf(shape, i).caller,
     })),
+    ...recordPath(shape, 'tracePath', 'caller.trace'),
     durationMs,
     curve: [
       {atMs: 0, requestsPerSecond: baseRate},
--- a/src/standins/fleet_main.ts
+++ b/src/standins/fleet_main.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import {mkdir, writeFile} from 'node:fs/promises';
-import {join} from 'node:path';
+import {join, resolve} from 'node:path';
 import {Command, Option, runExit} from 'clipanion';
 import * as t from 'typanion';
 import {SMALL_FLEET, fleetFiles} from './fleet_files.js';
@@ -26,6 +26,8 @@
   baseRate = Option.String('--base-rate', '60', {validator: isCount});
   peakRate = Option.String('--peak-rate', '300', {validator: isCount});
 
+  record = Option.Boolean('--record', false);
+
   override async execute(): Promise<void> {
     const files = fleetFiles({
       ...SMALL_FLEET,
@@ -35,6 +37,7 @@
       durationMs: this.durationMs,
       baseRate: this.baseRate,
       peakRate: this.peakRate,
+      ...(this.record ? {recordFolder: resolve(this.folder)} : {}),
     });
     await mkdir(this.folder, {recursive: true});
     for (const [name, content] of files) {
--- a/src/standins/platform_server.ts
+++ b/src/standins/platform_server.ts
@@ -43,14 +43,16 @@
     .enum(['normal', 'outage', 'hang', 'error', 'stale', 'malformed'])
     .optional(),
   vmsLagMs: z.int().min(0).optional(),
+  staleReaders: z.array(z.string()).optional(),
 });
 
 /**
  * Behaviour of the stand-in. `mode`: `normal`; `outage` breaks connections;
  * `hang` accepts calls and never answers; `error` answers 500; `stale` answers
  * the first publication at once; `malformed` answers without version header.
- * `vmsLagMs`: age below which a list of VMs is withheld. A missing key keeps
- * its value.
+ * `vmsLagMs`: age below which a list of VMs is withheld. `staleReaders`: readers,
+ * by `user-agent`, that see only publications before this command. A missing
+ * key keeps its value.
  */
 export type PlatformMode = z.infer<typeof modeSchema>;
 
@@ -69,6 +71,7 @@
 interface PendingWatch {
   readonly name: DocumentName;
   readonly after: number;
+  readonly reader: string;
   readonly deadlineMs: InstantMs;
   readonly response: ServerResponse;
 }
@@ -90,6 +93,8 @@
   private readonly pending = new Set<PendingWatch>();
   private mode: NonNullable<PlatformMode['mode']> = 'normal';
   private vmsLagMs = 0;
+  private staleReaders: readonly string[] = [];
+  private staleSinceMs: InstantMs = 0;
   private second = -1;
   private callsInSecond = 0;
   private peakPerSecond = 0;
@@ -154,9 +159,13 @@
   setMode(mode: PlatformMode): void {
     this.mode = mode.mode ?? this.mode;
     this.vmsLagMs = mode.vmsLagMs ?? this.vmsLagMs;
+    if (mode.staleReaders !== undefined) {
+      this.staleReaders = mode.staleReaders;
+      this.staleSinceMs = this.options.clock.nowMs();
+    }
     if (this.mode !== 'normal') {
       for (const watch of this.pending) {
-        this.serve(watch.name, watch.after, 0, watch.response);
+        this.serve(watch.name, watch.after, 0, watch.reader, watch.response);
       }
       this.pending.clear();
     }
@@ -213,7 +222,8 @@
     } else if (!withinLimit) {
       answerJson(response, 429, {error: 'read limit exceeded'});
     } else {
-      this.serve(name, after, Math.min(waitMs, MAX_WAIT_MS), response);
+      const reader = request.headers['user-agent'] ?? 'unknown';
+      this.serve(name, after, Math.min(waitMs, MAX_WAIT_MS), reader, response);
     }
   }
 
@@ -222,9 +232,10 @@
     name: DocumentName,
     after: number,
     waitMs: number,
+    reader: string,
     response: ServerResponse,
   ): void {
-    const newest = this.visible(name);
+    const newest = this.visible(name, reader);
     switch (this.mode) {
       case 'outage':
         response.destroy();
@@ -248,7 +259,7 @@
       return;
     }
     const deadlineMs = this.options.clock.nowMs() + waitMs;
-    const watch = {name, after, deadlineMs, response};
+    const watch = {name, after, deadlineMs, reader, response};
     this.pending.add(watch);
     response.once('close', () => this.pending.delete(watch));
   }
@@ -257,7 +268,7 @@
   private answerWatches(): void {
     const nowMs = this.options.clock.nowMs();
     for (const watch of this.pending) {
-      const newest = this.visible(watch.name);
+      const newest = this.visible(watch.name, watch.reader);
       if (newest !== undefined && newest.platformVersion > watch.after) {
         this.pending.delete(watch);
         answerDocument(watch.response, newest);
@@ -268,10 +279,15 @@
     }
   }
 
-  /** The newest publication that readers may see. */
-  private visible(name: DocumentName): Publication | undefined {
+  /** The newest publication that a reader may see. */
+  private visible(name: DocumentName, reader: string): Publication | undefined {
     const lagMs = name === 'vms' ? this.vmsLagMs : 0;
-    return this.documents.newest(name, this.options.clock.nowMs() - lagMs);
+    const untilMs = this.options.clock.nowMs() - lagMs;
+    const isStale = this.staleReaders.includes(reader);
+    return this.documents.newest(
+      name,
+      isStale ? Math.min(untilMs, this.staleSinceMs) : untilMs,
+    );
   }
 
   /** Counts a call; false above the limit. */
--- a/src/standins/target_control.ts
+++ b/src/standins/target_control.ts
@@ -46,7 +46,7 @@
         response.end(JSON.stringify(ledger));
         return;
       }
-      const [status, answer] = runCommand(targets, body);
+      const [status, answer] = runCommand(targets, ledger, body);
       response.statusCode = status;
       response.end(answer);
     });
@@ -55,12 +55,14 @@
 
 function runCommand(
   targets: readonly TargetStandin[],
+  ledger: TargetLedger,
   body: string,
 ): [number, string] {
   try {
     const {target, action, value} = command.parse(JSON.parse(body));
     for (const standin of targets) {
       if (target === undefined || standin.id === target) {
+        ledger.recordControl(standin.id, action);
         apply(standin, action, value);
       }
     }
--- a/src/standins/target_main.ts
+++ b/src/standins/target_main.ts
@@ -12,7 +12,7 @@
 
 const text = await readFile(process.argv[2] ?? 'targets.json', 'utf8');
 const settings = targetSettingsSchema.parse(JSON.parse(text));
-const ledger = new TargetLedger();
+const ledger = new TargetLedger(settings.ledgerPath);
 const targets = settings.targets.map((spec, index) => {
   const random = new SeededRandom({seed: settings.seed + index});
   return new TargetStandin({spec, settings, random, ledger});
--- a/src/standins/target_settings.ts
+++ b/src/standins/target_settings.ts
@@ -47,6 +47,8 @@
     .optional(),
   /** Time after which a crashed target listens again; 0 for never. */
   restartAfterMs: z.number().default(1_000),
+  /** File to which the ledger appends each event as a line of JSON. */
+  ledgerPath: z.string().optional(),
 });
 
 /** Settings of a target process. */
--- a/src/standins/target_standin.ts
+++ b/src/standins/target_standin.ts
@@ -11,7 +11,7 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import type {RandomSource} from '../core/index.js';
-import type {TargetLedger} from './target_ledger.js';
+import type {LedgerRequest, TargetLedger} from './target_ledger.js';
 import type {KindSpec, TargetSettings, TargetSpec} from './target_settings.js';
 
 /** Faults that tests switch on. */
@@ -116,7 +116,7 @@
       socket.resetAndDestroy();
     }
     this.endAllJobs();
-    this.options.ledger.recordCrash();
+    this.options.ledger.recordCrash(this.id);
     const {restartAfterMs} = this.options.settings;
     if (restartAfterMs > 0) {
       setTimeout(() => {
@@ -162,10 +162,12 @@
       return;
     }
     if (request.headers['x-poison'] !== undefined) {
-      this.options.ledger.recordRun(this.id, requestIdOf(request));
+      this.options.ledger.recordArrival(this.id, ledgerRequest(request));
+      this.options.ledger.recordRun(this.id, ledgerRequest(request));
       this.crash();
       return;
     }
+    this.options.ledger.recordArrival(this.id, ledgerRequest(request));
     const {faults} = this;
     if (faults.failFast) {
       this.answer(response, 500, {error: 'fails fast'});
@@ -223,7 +225,7 @@
 
   private run(job: Job): void {
     this.running.add(job);
-    this.options.ledger.recordRun(this.id, requestIdOf(job.request));
+    this.options.ledger.recordRun(this.id, ledgerRequest(job.request));
     const serviceMs = this.drawServiceMs(job.request);
     job.timer = setTimeout(() => {
       this.running.delete(job);
@@ -238,12 +240,14 @@
       return;
     }
     const padLength = Number(request.headers['x-pad-bytes'] ?? 64);
-    this.answer(response, 200, {
-      id: requestIdOf(request),
+    const splitMs = Number(request.headers['x-split-ms'] ?? 0);
+    const answer = {
+      ...ledgerRequest(request),
       target: this.id,
       bodyBytes: body.length,
       pad: 'x'.repeat(padLength),
-    });
+    };
+    this.answer(response, 200, answer, splitMs);
   }
 
   /** A caller that goes away cancels its work. */
@@ -330,7 +334,13 @@
     this.answer(response, 503, {error: 'refused'});
   }
 
-  private answer(response: ServerResponse, status: number, body: object): void {
+  /** Answers; the second half follows after `splitMs`. */
+  private answer(
+    response: ServerResponse,
+    status: number,
+    body: object,
+    splitMs = 0,
+  ): void {
     const text = JSON.stringify(body);
     const missing = this.faults.truncate && status === 200 ? 10 : 0;
     response.setHeader('content-type', 'application/json');
@@ -342,13 +352,18 @@
     response.statusCode = status;
     if (missing > 0) {
       response.write(text, () => response.destroy());
+    } else if (splitMs > 0) {
+      const half = Math.floor(text.length / 2);
+      response.write(text.slice(0, half));
+      setTimeout(() => response.end(text.slice(half)), splitMs);
     } else {
       response.end(text);
     }
   }
 }
 
-/** Id that the stand-in caller gives to each of its requests. */
-function requestIdOf(request: IncomingMessage): string {
-  return String(request.headers['x-request-id'] ?? 'unnamed');
+/** Ids that the stand-in caller gives to a request and to each of its copies. */
+function ledgerRequest(request: IncomingMessage): LedgerRequest {
+  const id = String(request.headers['x-request-id'] ?? 'unnamed');
+  return {id, sending: String(request.headers['x-sending-id'] ?? id)};
 }
--- /dev/null
+++ b/tests/lib/fleet.sh
@@ -0,0 +1,175 @@
+# Functions for checks with separate processes. To be sourced from tests/processes.
+#
+# fleet_open SEED VMS [options of fleet_main.js] generates the settings and
+# fleet_start starts all processes, with a relay between the daemons. Files are
+# in $folder; each process NAME has NAME.pid and NAME.log. The exit trap stops
+# everything. KEEP=1 keeps the files.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/../.."
+standins=dist/src/standins
+checkers=dist/tests/checkers
+
+# Takes a free range of 400 ports, so that several checks can run at once.
+take_ports() {
+  local slot
+  for slot in $(seq 0 29); do
+    exec 9>"${TMPDIR:-/tmp}/sycamorepitch-ports-$slot.lock"
+    if flock -n 9; then
+      base_port=$((20000 + 400 * slot))
+      return
+    fi
+  done
+  fail 'no free range of ports'
+}
+
+fail() {
+  echo "failed: $*" >&2
+  exit 1
+}
+
+fleet_close() {
+  local status=$? file
+  for file in "$folder"/*.pid; do
+    [ -e "$file" ] && kill -CONT "$(cat "$file")" 2>/dev/null || true
+  done
+  bash scripts/stop_fleet.sh "$folder" || true
+  for file in "$folder"/relay.pid "$folder"/tool-*.pid; do
+    [ -e "$file" ] && kill -TERM "$(cat "$file")" 2>/dev/null || true
+  done
+  if [ "$status" -ne 0 ] || [ "${KEEP:-0}" = 1 ]; then
+    echo "files kept in $folder"
+  else
+    rm -rf "$folder"
+  fi
+}
+
+fleet_open() {
+  local seed=$1 vms=$2
+  shift 2
+  take_ports
+  folder=$(mktemp -d)
+  trap fleet_close EXIT
+  echo "seed $seed, $vms daemons, ports from $base_port"
+  node $standins/fleet_main.js --seed "$seed" --vms "$vms" --record \
+    --base-port "$base_port" "$@" "$folder"
+}
+
+# edit FILE STATEMENT: changes a JSON file; the statement sees it as `json`.
+edit() {
+  node -e '
+    const [file, statement] = process.argv.slice(1);
+    const json = JSON.parse(fs.readFileSync(file, "utf8"));
+    new Function("json", statement)(json);
+    fs.writeFileSync(file, JSON.stringify(json, undefined, 2));
+  ' "$folder/$1" "$2"
+}
+
+# field FILE EXPRESSION: prints a part of a JSON file.
+field() { node -p "JSON.parse(fs.readFileSync('$folder/$1','utf8')).$2"; }
+
+start_part() {
+  local name=$1
+  shift
+  nohup "$@" >>"$folder/$name.log" 2>&1 </dev/null 9>&- &
+  echo $! >"$folder/$name.pid"
+  # Without job control the shell reports no killed process.
+  disown $!
+}
+
+targets_start() { start_part "targets-$1" node $standins/target_main.js "$folder/targets-$1.json"; }
+
+daemon_start() {
+  local links
+  links=$(node -p "
+    const vm = JSON.parse(fs.readFileSync('$folder/daemon-$1.json','utf8')).vmId;
+    const {links} = JSON.parse(fs.readFileSync('$folder/relay.json','utf8'));
+    JSON.stringify(Object.fromEntries(links.filter(link => link.from === vm)
+      .map(link => [link.targetPort, link.listenPort])))")
+  PEER_LINKS=$links start_part "daemon-$1" \
+    node --import "./$standins/peer_redirect.js" dist/src/daemon/main.js "$folder/daemon-$1.json"
+}
+
+fleet_start() {
+  local file number
+  start_part relay node $standins/relay_main.js "$folder/relay.json"
+  start_part platform node $standins/platform_main.js --port "$base_port" \
+    --config "$folder/config.json" --vms "$folder/vms.json"
+  for file in "$folder"/targets-?.json; do
+    number=${file%.json}
+    targets_start "${number##*-}"
+  done
+  for file in "$folder"/daemon-?.json; do
+    number=${file%.json}
+    daemon_start "${number##*-}"
+  done
+  for file in "$folder"/daemon-?.json; do
+    number=${file%.json}
+    await_ready "${number##*-}"
+  done
+}
+
+operator_port() { echo $((base_port + 69 + $1)); }
+caller_port() { echo $((base_port + 19 + $1)); }
+
+await_ready() {
+  local attempt
+  for attempt in $(seq 300); do
+    curl -sf -m 1 "http://127.0.0.1:$(operator_port "$1")/readyz" >/dev/null 2>&1 && return
+    sleep 0.1
+  done
+  tail -n 5 "$folder/daemon-$1.log" >&2
+  fail "daemon-$1 did not become ready"
+}
+
+# await_views COUNT: waits until each daemon holds COUNT members for ready.
+await_views() {
+  local file number attempt
+  for file in "$folder"/daemon-?.pid; do
+    number=${file%.pid}
+    number=${number##*-}
+    for attempt in $(seq 150); do
+      curl -s -m 1 "http://127.0.0.1:$(operator_port "$number")/status" |
+        node -e '
+          const {members} = JSON.parse(fs.readFileSync(0, "utf8") || "{}");
+          const ready = (members ?? []).filter(member => member.state === "ready");
+          process.exit(ready.length === Number(process.argv[1]) ? 0 : 1)' "$1" && continue 2
+      sleep 0.2
+    done
+    fail "daemon-$number does not see $1 ready VMs"
+  done
+}
+
+# signal SIGNAL NAME: sends a signal to a process of the fleet.
+signal() {
+  echo "SIG$1 to $2"
+  kill "-$1" "$(cat "$folder/$2.pid")"
+}
+
+post() { curl -sf -m 5 -d "$2" "http://127.0.0.1:$1" >/dev/null || fail "POST $1 $2"; }
+
+platform_mode() { post "$base_port/control/mode" "$1"; }
+
+# publish NAME FILE: publishes a document on the platform.
+publish() {
+  curl -sf -m 5 -T "$folder/$2" "http://127.0.0.1:$base_port/control/documents/$1" >/dev/null ||
+    fail "$2 not published"
+}
+
+# target_control PROCESS JSON
+target_control() { post "$((base_port + $1))/control" "$2"; }
+
+relay() {
+  echo "relay: $1"
+  post "$((base_port + 299))/" "$1"
+}
+
+caller_start() {
+  node $standins/caller_main.js "$folder/caller.json" >"$folder/caller.log" 2>&1 9>&- &
+  caller=$!
+}
+
+# Waits for the caller; its own verdict is left to the checker of the trace.
+caller_wait() {
+  wait "$caller" || true
+  cat "$folder/caller.log"
+}
