Check drains and configuration with separate processes

The target stand-in states drains by single signs; the platform stand-in can be stale for single readers.

--- a/src/standins/target_control.ts
+++ b/src/standins/target_control.ts
@@ -12,7 +12,12 @@
   /** Target id; absent for all targets of the process. */
   target: z.string().optional(),
   action: z.enum([
+    // No effect but an entry in the ledger.
+    'mark',
     'drain',
+    'drain-by-header',
+    'drain-by-refusal',
+    'drain-by-load',
     'fail-fast',
     'refuse',
     'truncate',
@@ -79,8 +84,19 @@
 ): void {
   const {faults} = standin;
   switch (action) {
+    case 'mark':
+      break;
     case 'drain':
-      faults.draining = true;
+      faults.drainSigns = ['header', 'refusal', 'load'];
+      break;
+    case 'drain-by-header':
+      faults.drainSigns = ['header'];
+      break;
+    case 'drain-by-refusal':
+      faults.drainSigns = ['refusal'];
+      break;
+    case 'drain-by-load':
+      faults.drainSigns = ['load'];
       break;
     case 'fail-fast':
       faults.failFast = true;
@@ -107,7 +123,7 @@
       faults.failFast = false;
       faults.refuseAll = false;
       faults.truncate = false;
-      faults.draining = false;
+      faults.drainSigns = [];
       faults.slowFactor = 1;
       faults.statedLoad = undefined;
       break;
--- a/src/standins/target_ledger.ts
+++ b/src/standins/target_ledger.ts
@@ -7,10 +7,11 @@
 
 /**
  * One line of a ledger file. `arrival`: a request reached the target, whether
- * it ran or not; `control`: a test changed the behaviour of a target.
+ * it ran or not; `drain-sign`: an answer stated that it drains; `control`: a test changed the behaviour of a target.
  */
 export interface LedgerEntry {
-  readonly type: 'arrival' | 'run' | 'probe' | 'crash' | 'control';
+  readonly type:
+    'arrival' | 'run' | 'probe' | 'crash' | 'drain-sign' | 'control';
   readonly target: string;
   /** Request id; for `control`, the action. */
   readonly id?: string;
@@ -61,6 +62,11 @@
     increment(this.probesByTarget, targetId);
   }
 
+  /** Notes an answer that states that the target drains. */
+  recordDrainSign(targetId: string): void {
+    this.append({type: 'drain-sign', target: targetId});
+  }
+
   /** Notes a crash. */
   recordCrash(targetId: string): void {
     this.append({type: 'crash', target: targetId});
--- a/src/standins/target_standin.ts
+++ b/src/standins/target_standin.ts
@@ -14,6 +14,12 @@
 import type {LedgerRequest, TargetLedger} from './target_ledger.js';
 import type {KindSpec, TargetSettings, TargetSpec} from './target_settings.js';
 
+/**
+ * `header`: responses to requests carry it; `refusal`: new requests are refused
+ * with the header; `load`: the load endpoint states it.
+ */
+export type DrainSign = 'header' | 'refusal' | 'load';
+
 /** Faults that tests switch on. */
 export interface TargetFaults {
   /** Answer 500 at once. */
@@ -22,7 +28,8 @@
   refuseAll: boolean;
   /** State a greater content-length than is sent, then close. */
   truncate: boolean;
-  draining: boolean;
+  /** Where the target states that it drains; none if it does not. */
+  drainSigns: readonly DrainSign[];
   /** Load that reports state instead of the true one. */
   statedLoad: number | undefined;
   /** Multiplies service times. */
@@ -61,7 +68,7 @@
     failFast: false,
     refuseAll: false,
     truncate: false,
-    draining: false,
+    drainSigns: [],
     statedLoad: undefined,
     slowFactor: 1,
   };
@@ -173,7 +180,7 @@
       this.answer(response, 500, {error: 'fails fast'});
       return;
     }
-    if (faults.refuseAll || faults.draining || this.isFull()) {
+    if (faults.refuseAll || this.signs('refusal') || this.isFull()) {
       this.refuse(response);
       return;
     }
@@ -247,9 +254,17 @@
       bodyBytes: body.length,
       pad: 'x'.repeat(padLength),
     };
+    this.stateDrain(response, 'header');
     this.answer(response, 200, answer, splitMs);
   }
 
+  private stateDrain(response: ServerResponse, sign: DrainSign): void {
+    if (this.signs(sign)) {
+      this.options.ledger.recordDrainSign(this.id);
+      response.setHeader('x-target-draining', '1');
+    }
+  }
+
   /** A caller that goes away cancels its work. */
   private onClosed(job: Job): void {
     if (job.response.writableFinished) {
@@ -322,15 +337,23 @@
 
   private answerLoad(response: ServerResponse): void {
     this.options.ledger.recordProbe(this.id);
+    if (this.signs('load')) {
+      this.options.ledger.recordDrainSign(this.id);
+    }
     this.answer(response, 200, {
       inFlight: this.statedLoad(),
       slots: this.options.spec.slots,
-      draining: this.faults.draining,
+      draining: this.signs('load'),
     });
   }
 
+  private signs(sign: DrainSign): boolean {
+    return this.faults.drainSigns.includes(sign);
+  }
+
   private refuse(response: ServerResponse): void {
     response.setHeader('x-target-refused', '1');
+    this.stateDrain(response, 'refusal');
     this.answer(response, 503, {error: 'refused'});
   }
 
@@ -346,9 +369,6 @@
     response.setHeader('content-type', 'application/json');
     response.setHeader('content-length', text.length + missing);
     response.setHeader('x-load-in-flight', this.statedLoad());
-    if (this.faults.draining) {
-      response.setHeader('x-target-draining', '1');
-    }
     response.statusCode = status;
     if (missing > 0) {
       response.write(text, () => response.destroy());
--- a/tests/lib/fleet.sh
+++ b/tests/lib/fleet.sh
@@ -12,10 +12,10 @@
 # Takes a free range of 400 ports, so that several checks can run at once.
 take_ports() {
   local slot
-  for slot in $(seq 0 29); do
+  for slot in $(seq 0 19); do
     exec 9>"${TMPDIR:-/tmp}/sycamorepitch-ports-$slot.lock"
     if flock -n 9; then
-      base_port=$((20000 + 400 * slot))
+      base_port=$((24000 + 400 * slot))
       return
     fi
   done
@@ -139,12 +139,69 @@
   done
 }
 
+# a_reader COUNT: prints the id of the first VM of COUNT that reads the platform.
+a_reader() {
+  local number
+  for number in $(seq "$1"); do
+    curl -s -m 1 "http://127.0.0.1:$(operator_port "$number")/status" |
+      grep -q '"readsPlatform":true' && echo "e-0$number" && return
+  done
+  fail 'no VM reads the platform'
+}
+
+# all_but VM COUNT: platform mode in which all readers but VM are stale.
+all_but() {
+  local number names=()
+  for number in $(seq "$2"); do
+    [ "e-0$number" = "$1" ] || names+=("\"sycamorepitch/e-0$number\"")
+  done
+  (IFS=,; echo "{\"staleReaders\": [${names[*]}]}")
+}
+
+# watch_status COUNT: records what the VMs report until stop_tool status.
+watch_status() {
+  local number ports=()
+  for number in $(seq "$1"); do ports+=("$(operator_port "$number")"); done
+  start_part tool-status node $checkers/status_watch.js "$folder/status.log" "${ports[@]}"
+}
+
+stop_tool() { kill -TERM "$(cat "$folder/tool-$1.pid")"; }
+
+# await_revision any|all REVISION COUNT: waits until VMs report the revision.
+await_revision() {
+  local attempt number found
+  for attempt in $(seq 300); do
+    found=0
+    for number in $(seq "$3"); do
+      if curl -s -m 1 "http://127.0.0.1:$(operator_port "$number")/status" |
+        grep -q "\"config\":{\"revision\":$2,"; then
+        found=$((found + 1))
+      fi
+    done
+    [ "$1" = any ] && [ "$found" -gt 0 ] && return
+    [ "$found" -eq "$3" ] && return
+    sleep 0.1
+  done
+  fail "only $found VMs report revision $2"
+}
+
 # signal SIGNAL NAME: sends a signal to a process of the fleet.
 signal() {
   echo "SIG$1 to $2"
   kill "-$1" "$(cat "$folder/$2.pid")"
 }
 
+# await_end NAME: waits until a process has ended.
+await_end() {
+  local attempt pid
+  pid=$(cat "$folder/$1.pid")
+  for attempt in $(seq 300); do
+    kill -0 "$pid" 2>/dev/null || return 0
+    sleep 0.1
+  done
+  fail "$1 does not end"
+}
+
 post() { curl -sf -m 5 -d "$2" "http://127.0.0.1:$1" >/dev/null || fail "POST $1 $2"; }
 
 platform_mode() { post "$base_port/control/mode" "$1"; }
