--- a/src/standins/target_standin.ts
+++ b/src/standins/target_standin.ts
@@ -11,9 +11,15 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import type {RandomSource} from '../core/index.js';
-import type {TargetLedger} from './target_ledger.js';
+import type {LedgerRequest, TargetLedger} from './target_ledger.js';
 import type {KindSpec, TargetSettings, TargetSpec} from './target_settings.js';
 
+/**
+ * `header`: responses to requests carry it; `refusal`: new requests are refused
+ * with the header; `load`: the load endpoint states it.
+ */
+export type DrainSign = 'header' | 'refusal' | 'load';
+
 /** Faults that tests switch on. */
 export interface TargetFaults {
   /** Answer 500 at once. */
@@ -22,7 +28,8 @@
   refuseAll: boolean;
   /** State a greater content-length than is sent, then close. */
   truncate: boolean;
-  draining: boolean;
+  /** Where the target states that it drains; none if it does not. */
+  drainSigns: readonly DrainSign[];
   /** Load that reports state instead of the true one. */
   statedLoad: number | undefined;
   /** Multiplies service times. */
@@ -61,7 +68,7 @@
     failFast: false,
     refuseAll: false,
     truncate: false,
-    draining: false,
+    drainSigns: [],
     statedLoad: undefined,
     slowFactor: 1,
   };
@@ -116,7 +123,7 @@
       socket.resetAndDestroy();
     }
     this.endAllJobs();
-    this.options.ledger.recordCrash();
+    this.options.ledger.recordCrash(this.id);
     const {restartAfterMs} = this.options.settings;
     if (restartAfterMs > 0) {
       setTimeout(() => {
@@ -162,16 +169,18 @@
       return;
     }
     if (request.headers['x-poison'] !== undefined) {
-      this.options.ledger.recordRun(this.id, requestIdOf(request));
+      this.options.ledger.recordArrival(this.id, ledgerRequest(request));
+      this.options.ledger.recordRun(this.id, ledgerRequest(request));
       this.crash();
       return;
     }
+    this.options.ledger.recordArrival(this.id, ledgerRequest(request));
     const {faults} = this;
     if (faults.failFast) {
       this.answer(response, 500, {error: 'fails fast'});
       return;
     }
-    if (faults.refuseAll || faults.draining || this.isFull()) {
+    if (faults.refuseAll || this.signs('refusal') || this.isFull()) {
       this.refuse(response);
       return;
     }
@@ -223,7 +232,7 @@
 
   private run(job: Job): void {
     this.running.add(job);
-    this.options.ledger.recordRun(this.id, requestIdOf(job.request));
+    this.options.ledger.recordRun(this.id, ledgerRequest(job.request));
     const serviceMs = this.drawServiceMs(job.request);
     job.timer = setTimeout(() => {
       this.running.delete(job);
@@ -238,12 +247,22 @@
       return;
     }
     const padLength = Number(request.headers['x-pad-bytes'] ?? 64);
-    this.answer(response, 200, {
-      id: requestIdOf(request),
+    const splitMs = Number(request.headers['x-split-ms'] ?? 0);
+    const answer = {
+      ...ledgerRequest(request),
       target: this.id,
       bodyBytes: body.length,
       pad: 'x'.repeat(padLength),
-    });
+    };
+    this.stateDrain(response, 'header');
+    this.answer(response, 200, answer, splitMs);
+  }
+
+  private stateDrain(response: ServerResponse, sign: DrainSign): void {
+    if (this.signs(sign)) {
+      this.options.ledger.recordDrainSign(this.id);
+      response.setHeader('x-target-draining', '1');
+    }
   }
 
   /** A caller that goes away cancels its work. */
@@ -318,37 +337,53 @@
 
   private answerLoad(response: ServerResponse): void {
     this.options.ledger.recordProbe(this.id);
+    if (this.signs('load')) {
+      this.options.ledger.recordDrainSign(this.id);
+    }
     this.answer(response, 200, {
       inFlight: this.statedLoad(),
       slots: this.options.spec.slots,
-      draining: this.faults.draining,
+      draining: this.signs('load'),
     });
   }
 
+  private signs(sign: DrainSign): boolean {
+    return this.faults.drainSigns.includes(sign);
+  }
+
   private refuse(response: ServerResponse): void {
     response.setHeader('x-target-refused', '1');
+    this.stateDrain(response, 'refusal');
     this.answer(response, 503, {error: 'refused'});
   }
 
-  private answer(response: ServerResponse, status: number, body: object): void {
+  /** Answers; the second half follows after `splitMs`. */
+  private answer(
+    response: ServerResponse,
+    status: number,
+    body: object,
+    splitMs = 0,
+  ): void {
     const text = JSON.stringify(body);
     const missing = this.faults.truncate && status === 200 ? 10 : 0;
     response.setHeader('content-type', 'application/json');
     response.setHeader('content-length', text.length + missing);
     response.setHeader('x-load-in-flight', this.statedLoad());
-    if (this.faults.draining) {
-      response.setHeader('x-target-draining', '1');
-    }
     response.statusCode = status;
     if (missing > 0) {
       response.write(text, () => response.destroy());
+    } else if (splitMs > 0) {
+      const half = Math.floor(text.length / 2);
+      response.write(text.slice(0, half));
+      setTimeout(() => response.end(text.slice(half)), splitMs);
     } else {
       response.end(text);
     }
   }
 }
 
-/** Id that the stand-in caller gives to each of its requests. */
-function requestIdOf(request: IncomingMessage): string {
-  return String(request.headers['x-request-id'] ?? 'unnamed');
+/** Ids that the stand-in caller gives to a request and to each of its copies. */
+function ledgerRequest(request: IncomingMessage): LedgerRequest {
+  const id = String(request.headers['x-request-id'] ?? 'unnamed');
+  return {id, sending: String(request.headers['x-sending-id'] ?? id)};
 }
