Keep urgent requests out of the subset for long kinds

Cause: the subset concentrates long requests.

Change: an urgent request waits for a target outside the subset for up to an eighth of its time, then takes any target. Others are dispatched meanwhile.

--- a/src/engine/dispatcher.ts
+++ b/src/engine/dispatcher.ts
@@ -15,10 +15,19 @@
 /** Choices per request before targets without a free connection count as full. */
 const MAX_CHOICES = 3;
 
+/**
+ * Part of its time to the deadline for which an urgent request waits for a
+ * target outside the subset for long kinds. A short request frees a slot within
+ * milliseconds; three long ones hold a whole target for up to 50 times longer.
+ */
+const OUTSIDE_WAIT_SHARE = 1 / 8;
+
 /** Where a waiting request can go now. */
 type Place =
   | {readonly type: 'target'; readonly target: KnownTarget}
   | {readonly type: 'full'}
+  /** Targets outside the subset for long kinds are full; wait for them. */
+  | {readonly type: 'outside-full'}
   | {readonly type: 'none'};
 
 /**
@@ -60,14 +69,19 @@
   private sendWhilePossible(service: ServiceState, nowMs: InstantMs): void {
     const passedOver = new Set<ActiveRequest>();
     let isLongLaneFull = false;
+    let isOutsideFull = false;
     const eligible = (request: ActiveRequest) =>
-      !passedOver.has(request) && !(isLongLaneFull && request.usesLongLane);
+      !passedOver.has(request) &&
+      !(isLongLaneFull && request.usesLongLane) &&
+      !(isOutsideFull && request.urgent && waitsOutside(request, nowMs));
     let request = service.queue.select(nowMs, eligible);
     while (request !== undefined) {
       const place = this.placeFor(request, nowMs);
       if (place.type === 'target') {
         service.queue.take(request, nowMs);
         this.attempts.start(request, place.target, nowMs);
+      } else if (place.type === 'outside-full') {
+        isOutsideFull = true;
       } else if (place.type === 'full') {
         if (request.failedTargetIds.length > 0) {
           // Only the targets that this request has not tried are full.
@@ -123,10 +137,33 @@
     return canFinish({deadlineMs, estimatedMs}, nowMs);
   }
 
-  /** Asks the pool for a target that has a free connection of this VM. */
+  /**
+   * Chooses a target. Urgent kinds keep out of the subset for long kinds; once
+   * they have waited for a while, they take any target.
+   */
   private choose(request: ActiveRequest, nowMs: InstantMs): Place {
+    const lane = request.urgent ? request.service.longLaneIds() : [];
+    if (lane.length === 0) {
+      return this.chooseOutside(request, [], nowMs);
+    }
+    const place = this.chooseOutside(request, lane, nowMs);
+    if (place.type === 'target') {
+      return place;
+    }
+    if (place.type === 'full' && waitsOutside(request, nowMs)) {
+      return {type: 'outside-full'};
+    }
+    return this.chooseOutside(request, [], nowMs);
+  }
+
+  /** Asks the pool for a target that has a free connection of this VM. */
+  private chooseOutside(
+    request: ActiveRequest,
+    avoidedTargetIds: readonly string[],
+    nowMs: InstantMs,
+  ): Place {
     const {service, snapshot, kind} = request;
-    const excludedTargetIds = [...request.failedTargetIds];
+    const excludedTargetIds = [...request.failedTargetIds, ...avoidedTargetIds];
     for (let count = 0; count < MAX_CHOICES; count += 1) {
       const choice = service.pool.choose({
         kind,
@@ -176,3 +213,9 @@
     });
   }
 }
+
+/** True while an urgent request keeps out of the subset for long kinds. */
+function waitsOutside(request: ActiveRequest, nowMs: InstantMs): boolean {
+  const {queuedMs, deadlineMs} = request;
+  return nowMs - queuedMs < (deadlineMs - queuedMs) * OUTSIDE_WAIT_SHARE;
+}
--- a/src/engine/request_engine_test.ts
+++ b/src/engine/request_engine_test.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {longLaneTargets} from '../limits/index.js';
 import type {Fact} from '../membership/index.js';
 import {
   fixtureEngine,
   fixturePreset,
   fixtureRequest,
+  fixtureTargets,
   readyEngine,
 } from './engine_fixture.js';
 import type {AttemptSignal, Effect, RequestEngine} from './index.js';
@@ -286,3 +288,43 @@
   const expired = engine.onTick(40);
   assert.equal(refusal(expired), '504 may-have-run deadline');
 });
+
+test('urgent requests wait for a target without long requests', () => {
+  // Guards against urgent requests behind long ones, against urgent requests
+  // that wait for ever, and against others that are held back meanwhile.
+  const preset = fixturePreset({slotsPerTarget: 1});
+  const targets = fixtureTargets(4);
+  const targetIds = targets.map(({id}) => id);
+  const lane = longLaneTargets({service: 'desk', targetIds, share: 0.5});
+  const isOutside = ({targetId}: Of<'send'>): boolean =>
+    !lane.includes(targetId);
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const engine = fixtureEngine(seed);
+    engine.applyPreset(preset, 0);
+    engine.applyVmList({vms: targets}, 0);
+    const arrive = (id: string, path: string): readonly Effect[] =>
+      engine.onRequest(fixtureRequest(id, {path}), 1);
+    assert.ok(isOutside(find(arrive('r1', '/kiln'), 'send')));
+    assert.ok(isOutside(find(arrive('r2', '/kiln'), 'send')));
+    assert.ok(!arrive('r3', '/kiln').some(({type}) => type === 'send'));
+    const other = find(arrive('r4', '/price'), 'send');
+    assert.equal(other.requestId, 'r4');
+    assert.ok(!isOutside(other));
+    assert.ok(!engine.onTick(120).some(({type}) => type === 'send'));
+    const late = find(engine.onTick(130), 'send');
+    assert.equal(late.requestId, 'r3');
+    assert.ok(!isOutside(late));
+  }
+});
+
+test('urgent requests use all targets if none lies outside the subset', () => {
+  // Guards against urgent requests that find no target when the targets
+  // outside the subset for long kinds leave, or the subset holds all targets.
+  for (const longLaneShare of [0.5, 1]) {
+    const engine = fixtureEngine(1);
+    engine.applyPreset(fixturePreset({longLaneShare}), 0);
+    engine.applyVmList({vms: fixtureTargets(2, ['t-1'])}, 0);
+    const effects = engine.onRequest(fixtureRequest('r1', {path: '/kiln'}), 1);
+    assert.equal(find(effects, 'send').targetId, 't-2');
+  }
+});
--- a/src/engine/service_state.ts
+++ b/src/engine/service_state.ts
@@ -4,7 +4,11 @@
  * @packageDocumentation
  */
 import type {InstantMs} from '../core/index.js';
-import {RequestQueue, ServiceTimeEstimator} from '../limits/index.js';
+import {
+  longLaneTargets,
+  RequestQueue,
+  ServiceTimeEstimator,
+} from '../limits/index.js';
 import type {KindPreset, ListedVm, Preset} from '../preset/index.js';
 import type {ProbeScheduler} from '../probing/index.js';
 import {RetryBudget} from '../retries/index.js';
@@ -47,6 +51,8 @@
   /** Undefined while the active preset does not name the service. */
   snapshot: ServiceSnapshot | undefined;
   private targetsById = new Map<string, KnownTarget>();
+  /** Targets of the subset for long kinds; undefined after a change. */
+  private longLane: readonly string[] | undefined;
   private readonly estimators = new Map<string, ServiceTimeEstimator>();
   private attemptCount = 0;
 
@@ -79,6 +85,7 @@
       return;
     }
     this.snapshot = new ServiceSnapshot(service, preset.vmCeiling);
+    this.longLane = undefined;
     this.budget.setShare(service.retryBudgetShare);
     this.pool.applyPreset(service, preset.vmCeiling);
     this.scheduler.setBudget(
@@ -105,6 +112,26 @@
       }
     }
     this.targetsById = targets;
+    this.longLane = undefined;
+  }
+
+  /**
+   * Targets that may run long kinds, in the view of this VM; empty if all may.
+   * The pool's subset can differ by one target for each drain flag that only
+   * the pool knows to be cleared.
+   */
+  longLaneIds(): readonly string[] {
+    this.longLane ??= this.chooseLongLane();
+    return this.longLane;
+  }
+
+  private chooseLongLane(): readonly string[] {
+    const targetIds = [...this.targetsById.values()]
+      .filter(target => !target.isLeaving && target.drainSeen === undefined)
+      .map(target => target.targetId);
+    const share = this.snapshot?.preset.longLaneShare ?? 1;
+    const lane = longLaneTargets({service: this.name, targetIds, share});
+    return lane.length === targetIds.length ? [] : lane;
   }
 
   /** Estimated service time of a kind in milliseconds; 0 if unknown. */
@@ -165,6 +192,7 @@
     const target = this.targetsById.get(targetId);
     if (target !== undefined && signal !== 'peer') {
       target.drainSeen ??= signal;
+      this.longLane = undefined;
     }
   }
 }
