Compare the request path in short alternating rounds

Cause: the bench measured one variant after the other for seconds, so that other load on the machine met them unequally, and it reported no processor time.

Change: rounds of about 1 s in rotating order, medians over the rounds, the difference to direct calls in the same round, processor time per request of each proxy from /proc/PID/stat, load average, several loads in one run, one random sequence per variant.

--- a/bench/request_path.sh
+++ b/bench/request_path.sh
@@ -1,10 +1,13 @@
 #!/usr/bin/env bash
 # Compares the request path of the daemon with direct calls and plain proxies.
-# Usage: bench/request_path.sh [seed] [requests per second] [seconds] [rounds]
-# Needs a build (npm run build). With DAEMON=0 the daemon is left out.
+# Usage: bench/request_path.sh [seed] [seconds a round] [rounds] [loads]
+# Loads are a list such as 1:100,32:500 of connections:requests per second.
+# Needs a build (npm run build). With DAEMON=0 the daemon is left out; with
+# VARIANTS="direct daemon" only these are measured. DAEMON_NODE_FLAGS are flags
+# for the daemon's node, such as --cpu-prof.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-seed=${1:-1} rate=${2:-500} seconds=${3:-5} rounds=${4:-3}
+seed=${1:-1} seconds=${2:-1} rounds=${3:-10} loads=${4:-1:100,32:500,32:1500}
 base=$(bash scripts/free_base_port.sh)
 program=dist/bench/request_path.js
 folder=$(mktemp -d)
@@ -18,11 +21,18 @@
 start() { "$@" >"$folder/$((${#pids[@]})).log" 2>&1 & pids+=($!); }
 
 target=$((base)) http=$((base + 1)) undici=$((base + 2)) restify=$((base + 3))
+variants=()
+add() { # name port: the process started last
+  case " ${VARIANTS:-$1} " in *" $1 "*) variants+=("$1=$2=${pids[-1]}") ;; esac
+}
 start node "$program" target "$target"
+add direct "$target"
 start node "$program" http-http "$http" "$target"
+add http-http "$http"
 start node "$program" http-undici "$undici" "$target"
+add http-undici "$undici"
 start node "$program" restify-undici "$restify" "$target"
-variants=(direct="$target" http-http="$http" http-undici="$undici" restify-undici="$restify")
+add restify-undici "$restify"
 if [ "${DAEMON:-1}" = 1 ]; then
   platform=$((base + 4)) caller=$((base + 5)) operator=$((base + 6)) peer=$((base + 7))
   cat >"$folder/config.json" <<JSON
@@ -44,12 +54,13 @@
  "platformUrls": ["http://127.0.0.1:$platform"], "leaveDelayMs": 0, "logLevel": "warn"}
 JSON
   start node dist/src/standins/platform_main.js --port "$platform" --config "$folder/config.json" --vms "$folder/vms.json"
-  start node dist/src/daemon/main.js "$folder/settings.json"
+  # shellcheck disable=SC2086 # a list of flags
+  start node ${DAEMON_NODE_FLAGS:-} dist/src/daemon/main.js "$folder/settings.json"
   for _ in $(seq 100); do
     curl -sf "http://127.0.0.1:$operator/readyz" >/dev/null && break
     sleep 0.1
   done
-  variants+=(daemon="$caller")
+  add daemon "$caller"
 fi
 sleep 1
-node "$program" load "$seed" "$rate" "$seconds" "$rounds" "${variants[@]}"
+node "$program" load "$seed" "$seconds" "$rounds" "$loads" "${variants[@]}"
--- a/bench/request_path.ts
+++ b/bench/request_path.ts
@@ -2,10 +2,14 @@
  * Cost of the request path: direct calls, plain proxies and the daemon.
  *
  * Each part is a process of its own, started by `request_path.sh`. All variants
- * are measured in one run, in turn, in several rounds.
+ * are measured in one run, in turn, in many short rounds, so that other load on
+ * the machine meets all of them. The processor time is that of the process
+ * between the caller and the target (of the target for direct calls) and
+ * includes its periodic work, which counts for more at a low rate.
  *
  * @packageDocumentation
  */
+import {readFileSync} from 'node:fs';
 import {
   Agent as HttpAgent,
   createServer,
@@ -13,7 +17,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {loadavg} from 'node:os';
 import {build, type Histogram} from 'hdr-histogram-js';
 import restify from 'restify';
 import {Pool} from 'undici';
@@ -24,6 +28,9 @@
 const CONNECTIONS = 64;
 const WARM_UP_REQUESTS = 2_000;
 const MICROSECONDS_PER_MS = 1_000;
+/** Unit of the times in /proc/PID/stat: USER_HZ is 100 on Linux. */
+const MS_PER_CLOCK_TICK = 10;
+const PERCENTILES = [50, 99, 99.9];
 
 /** Passes the request on with undici and buffers the answer. */
 function passWithUndici(pool: Pool) {
@@ -104,8 +111,39 @@
   }
 }
 
+/** One way to reach the target. */
+interface Variant {
+  readonly name: string;
+  readonly port: number;
+  /** Process between the caller and the target; the target's for direct calls. */
+  readonly pid: number;
+}
+
+/** Load of one table. */
+interface Load {
+  readonly connections: number;
+  readonly ratePerSecond: number;
+}
+
+/** Figures of one variant in one round. */
+interface RoundFigures {
+  readonly sentCount: number;
+  readonly failedCount: number;
+  /** p50, p99 and p99.9 in microseconds. */
+  readonly percentilesUs: readonly number[];
+  readonly processorMs: number;
+}
+
+/** Reads the user and system time that a process has used. */
+function readProcessorMs(pid: number): number {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  // The name of the program, in parentheses, may hold spaces.
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  return (Number(fields[11]) + Number(fields[12])) * MS_PER_CLOCK_TICK;
+}
+
 /** Sends Poisson arrivals; latency runs from the planned arrival. */
-async function measure(options: {
+async function sendArrivals(options: {
   readonly pool: Pool;
   readonly random: SeededRandom;
   readonly ratePerSecond: number;
@@ -153,46 +191,146 @@
   }
 }
 
-async function runLoad(args: readonly string[]): Promise<void> {
-  const [seedText, rateText, secondsText, roundsText, ...variants] = args;
-  const seed = Number(seedText);
-  const rounds = Number(roundsText);
-  const entries = variants.map(variant => {
-    const [name = '', port = ''] = variant.split('=');
+/** Measures one variant for one round. */
+async function measureRound(options: {
+  readonly variant: Variant;
+  readonly pool: Pool;
+  readonly load: Load;
+  readonly random: SeededRandom;
+  readonly durationMs: number;
+}): Promise<RoundFigures> {
+  const {variant, pool, load, random, durationMs} = options;
+  const histogram = build({highestTrackableValue: 60_000_000});
+  const processorStartMs = readProcessorMs(variant.pid);
+  const failedCount = await sendArrivals({
+    pool,
+    random,
+    ratePerSecond: load.ratePerSecond,
+    durationMs,
+    histogram,
+  });
+  return {
+    sentCount: histogram.totalCount,
+    failedCount,
+    percentilesUs: PERCENTILES.map(p => histogram.getValueAtPercentile(p)),
+    processorMs: readProcessorMs(variant.pid) - processorStartMs,
+  };
+}
+
+/** Measures all variants in turn, each once a round. */
+async function measureLoad(options: {
+  readonly variants: readonly Variant[];
+  readonly load: Load;
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly rounds: number;
+}): Promise<ReadonlyMap<string, readonly RoundFigures[]>> {
+  const {variants, load, seed, durationMs, rounds} = options;
+  const figures = new Map<string, RoundFigures[]>();
+  const pools = new Map<string, Pool>();
+  // All variants get the same arrivals.
+  const randoms = variants.map(() => new SeededRandom({seed}));
+  for (const {name, port} of variants) {
+    const {connections} = load;
     const pool = new Pool(`http://${HOST}:${port}`, {
-      connections: CONNECTIONS,
+      connections,
       pipelining: 1,
     });
-    const histogram = build({highestTrackableValue: 60_000_000});
-    return {name, pool, histogram, failures: 0};
-  });
-  for (const {pool} of entries) {
-    for (let i = 0; i < WARM_UP_REQUESTS; i++) {
-      await sendOne(pool);
+    figures.set(name, []);
+    pools.set(name, pool);
+    for (let i = 0; i < WARM_UP_REQUESTS / connections; i++) {
+      await Promise.all(Array.from({length: connections}, () => sendOne(pool)));
     }
   }
   for (let round = 0; round < rounds; round++) {
-    for (const entry of entries) {
-      entry.failures += await measure({
-        pool: entry.pool,
-        random: new SeededRandom({seed: seed + round}),
-        ratePerSecond: Number(rateText),
-        durationMs: Number(secondsText) * 1_000,
-        histogram: entry.histogram,
-      });
-      await sleep(200);
+    for (let i = 0; i < variants.length; i++) {
+      // Each round starts with another variant.
+      const index = (i + round) % variants.length;
+      const variant = variants[index];
+      const random = randoms[index];
+      const pool = pools.get(variant?.name ?? '');
+      if (variant === undefined || random === undefined || !pool) {
+        continue;
+      }
+      const options = {variant, pool, load, random, durationMs};
+      figures.get(variant.name)?.push(await measureRound(options));
     }
   }
+  await Promise.all([...pools.values()].map(pool => pool.close()));
+  return figures;
+}
+
+function median(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  const upper = sorted.length >> 1;
+  const lower = (sorted.length - 1) >> 1;
+  return ((sorted[lower] ?? 0) + (sorted[upper] ?? 0)) / 2;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+function printTable(
+  load: Load,
+  figures: ReadonlyMap<string, readonly RoundFigures[]>,
+): void {
+  const {connections, ratePerSecond} = load;
   process.stdout.write(
-    `seed ${seed}, ${rateText} requests/s, ${rounds} rounds of ${secondsText} s each, body ${BODY.length} bytes\n`,
+    `\nconnections ${connections}, ${ratePerSecond} requests/s, load average ${loadavg()[0]?.toFixed(1)}\n`,
   );
-  process.stdout.write('variant, count, failed, p50 us, p99 us, p99.9 us\n');
-  for (const {name, pool, histogram, failures} of entries) {
-    const figures = [50, 99, 99.9].map(p => histogram.getValueAtPercentile(p));
+  process.stdout.write(
+    'variant, sent, failed, p50 us, p99 us, p99.9 us, added p50 us, added p99 us, added p99.9 us, processor us/request\n',
+  );
+  const direct = figures.get('direct') ?? [];
+  for (const [name, rounds] of figures) {
+    const own = PERCENTILES.map((_, p) =>
+      median(rounds.map(round => round.percentilesUs[p] ?? 0)),
+    );
+    const added = PERCENTILES.map((_, p) =>
+      median(
+        rounds.map(
+          (round, i) =>
+            (round.percentilesUs[p] ?? 0) - (direct[i]?.percentilesUs[p] ?? 0),
+        ),
+      ),
+    );
+    const sentCount = sum(rounds.map(round => round.sentCount));
+    const failedCount = sum(rounds.map(round => round.failedCount));
+    const processorMs = sum(rounds.map(round => round.processorMs));
+    const processorUs = (processorMs * MICROSECONDS_PER_MS) / sentCount;
+    const columns = [...own, ...added, processorUs].map(us => us.toFixed(0));
     process.stdout.write(
-      `${[name, histogram.totalCount, failures, ...figures].join(', ')}\n`,
+      `${[name, sentCount, failedCount, ...columns].join(', ')}\n`,
     );
-    await pool.close();
+  }
+}
+
+function readVariant(text: string): Variant {
+  const [name = '', port, pid] = text.split('=');
+  return {name, port: Number(port), pid: Number(pid)};
+}
+
+function readLoads(text: string): readonly Load[] {
+  return text.split(',').map(entry => {
+    const [connections, ratePerSecond] = entry.split(':').map(Number);
+    return {connections: connections ?? 1, ratePerSecond: ratePerSecond ?? 0};
+  });
+}
+
+async function runLoads(args: readonly string[]): Promise<void> {
+  const [seedText, secondsText, roundsText, loadsText = '', ...rest] = args;
+  const seed = Number(seedText);
+  const rounds = Number(roundsText);
+  process.stdout.write(
+    `seed ${seed}, ${rounds} rounds of ${secondsText} s for each variant, body ${BODY.length} bytes\n` +
+      'Medians over the rounds; added: difference to direct in the same round.\n',
+  );
+  const variants = rest.map(readVariant);
+  for (const load of readLoads(loadsText)) {
+    const durationMs = Number(secondsText) * 1_000;
+    const options = {variants, load, seed, durationMs, rounds};
+    printTable(load, await measureLoad(options));
   }
 }
 
@@ -200,7 +338,7 @@
 if (part === 'target') {
   serveTarget(Number(rest[0]));
 } else if (part === 'load') {
-  await runLoad(rest);
+  await runLoads(rest);
 } else {
   serveProxy(part, Number(rest[0]), Number(rest[1]));
 }
