Count steps of requests without prom-client's label look-up

Cause: each request increments four counters; prom-client checks the labels and builds a text from them each time.

Change: counts are kept in maps and handed to prom-client when the figures are asked for.

--- a/src/daemon/daemon_metrics.ts
+++ b/src/daemon/daemon_metrics.ts
@@ -17,23 +17,23 @@
 /** Counters and gauges of one daemon. */
 export class DaemonMetrics {
   readonly registry = new Registry();
-  private readonly requests = this.counter('requests_total', 'Requests', [
+  private readonly requests = this.tally('requests_total', 'Requests', [
     'service',
   ]);
-  private readonly outcomes = this.counter(
+  private readonly outcomes = this.tally(
     'outcomes_total',
     'Answers by verdict and reason',
     ['verdict', 'reason'],
   );
-  private readonly signals = this.counter(
+  private readonly signals = this.tally(
     'attempt_signals_total',
     'Steps of attempts at targets',
     ['signal'],
   );
-  private readonly probes = this.counter('probes_total', 'Probes sent', [
+  private readonly probes = this.tally('probes_total', 'Probes sent', [
     'service',
   ]);
-  private readonly engineEvents = this.counter(
+  private readonly engineEvents = this.tally(
     'events_total',
     'Events of the time line',
     ['part', 'name'],
@@ -68,44 +68,53 @@
   onRequest(service: string): void {
     // Callers choose the name, so unknown ones share a label.
     const label = this.knownServices.has(service) ? service : 'unknown';
-    this.requests.inc({service: label});
+    this.requests.add(label);
   }
 
   /** Counts an answer. */
   onOutcome(outcome: Outcome): void {
-    this.outcomes.inc(
-      outcome.type === 'response'
-        ? {verdict: 'ran', reason: 'answered'}
-        : {verdict: outcome.verdict, reason: outcome.reason},
-    );
+    if (outcome.type === 'response') {
+      this.outcomes.add('ran', 'answered');
+    } else {
+      this.outcomes.add(outcome.verdict, outcome.reason);
+    }
   }
 
   /** Counts a step of an attempt. */
   onSignal(signal: string): void {
-    this.signals.inc({signal});
+    this.signals.add(signal);
   }
 
   /** Counts a probe. */
   onProbe(service: string): void {
-    this.probes.inc({service});
+    this.probes.add(service);
   }
 
   /** Counts an event. */
   onEvent(part: string, name: string): void {
-    this.engineEvents.inc({part, name});
+    this.engineEvents.add(part, name);
   }
 
-  private counter<L extends string>(
+  private tally(
     name: string,
     help: string,
-    labelNames: readonly L[],
-  ): Counter<L> {
-    return new Counter({
+    labelNames: readonly string[],
+  ): LabelledTally {
+    const tally = new LabelledTally();
+    new Counter({
       name: `sycamorepitch_${name}`,
       help,
       labelNames: [...labelNames],
       registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const [first, second, count] of tally.entries()) {
+          const values = second === undefined ? [first] : [first, second];
+          this.labels(...values).inc(count);
+        }
+      },
     });
+    return tally;
   }
 
   private gauge(name: string, help: string, read: () => number): void {
@@ -119,3 +128,31 @@
     });
   }
 }
+
+/**
+ * Counts by one or two label values. prom-client looks its counters up by a
+ * text built from all labels, which is too slow for each step of a request; so
+ * its counters are filled when the figures are asked for.
+ */
+class LabelledTally {
+  private readonly counts = new Map<string, Map<string | undefined, number>>();
+
+  /** Adds 1 to the count of the label values. */
+  add(first: string, second?: string): void {
+    let row = this.counts.get(first);
+    if (row === undefined) {
+      row = new Map();
+      this.counts.set(first, row);
+    }
+    row.set(second, (row.get(second) ?? 0) + 1);
+  }
+
+  /** Lists label values and counts. */
+  *entries(): Generator<readonly [string, string | undefined, number]> {
+    for (const [first, row] of this.counts) {
+      for (const [second, count] of row) {
+        yield [first, second, count];
+      }
+    }
+  }
+}
