Pass headers on as a flat list

Cause: end-to-end headers were copied into objects with many keys, once for the target with a second copy for the two own fields, and once for the caller.

Change: names and values in turn, the form that node:http and undici write from without further look-ups; no copy of the names in a plain 'connection' field. The test of the forwarded names now also checks that a name is kept.

--- a/src/caller_http/caller_server_test.ts
+++ b/src/caller_http/caller_server_test.ts
@@ -222,8 +222,10 @@
   assert.equal(request.attempt, 2);
   assert.equal(request.idempotencyKey, 'k');
   assert.ok(request.deadlineMs !== undefined);
-  assert.equal(headers['x-hop'], undefined);
-  assert.equal(headers['x-request-token'], undefined);
+  const names = headers.filter((_, i) => i % 2 === 0);
+  assert.ok(names.includes('x-service'));
+  assert.ok(!names.includes('x-hop'));
+  assert.ok(!names.includes('x-request-token'));
 });
 
 test('a streamed body that breaks destroys the connection of the caller', async t => {
--- a/src/caller_http/exchange.ts
+++ b/src/caller_http/exchange.ts
@@ -30,14 +30,14 @@
 
   /**
    * @param request - the request as the engine gets it
-   * @param headers - end-to-end headers for the target
+   * @param headers - end-to-end headers for the target, names and values in turn
    * @param body - body; undefined for a request without
    * @param response - where the answer goes
    * @param onAnswered - called once when the last byte was handed over
    */
   constructor(
     readonly request: CallerRequest,
-    readonly headers: Readonly<Record<string, string | string[]>>,
+    readonly headers: readonly string[],
     readonly body: Buffer | undefined,
     private readonly response: ServerResponse,
     private readonly onAnswered: () => void,
@@ -59,10 +59,10 @@
     }
     this.answered = true;
     const headers = endToEndHeaders(source.headers, NOT_FOR_CALLERS);
-    headers['x-verdict'] = 'ran';
+    headers.push('x-verdict', 'ran');
     const length = this.contentLength(source);
     if (length !== undefined) {
-      headers['content-length'] = length;
+      headers.push('content-length', length);
     }
     try {
       this.response.writeHead(source.status, headers);
--- a/src/caller_http/hop_headers.ts
+++ b/src/caller_http/hop_headers.ts
@@ -21,13 +21,17 @@
   'upgrade',
 ]);
 
+/** Also stands for the options that name no field. */
+const NO_OPTIONS: readonly string[] = [];
+
 /**
  * Copies the end-to-end headers.
  *
  * @param headers - fields with lower-case names
  * @param dropped - further lower-case names to leave out
- * @returns a new object without hop-by-hop fields, without fields named by
- *     `connection`, and without `dropped`
+ * @returns names and values in turn, without hop-by-hop fields, without fields
+ *     named by `connection`, and without `dropped`; a flat list costs node:http
+ *     and undici less than an object with many keys
  *
  * @example
  * ```ts
@@ -37,17 +41,24 @@
 export function endToEndHeaders(
   headers: HeaderFields,
   dropped: ReadonlySet<string>,
-): Record<string, string | string[]> {
+): string[] {
   const named = connectionOptions(headers['connection']);
-  const kept: Record<string, string | string[]> = {};
-  for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || HOP_BY_HOP.has(name)) {
+  const kept: string[] = [];
+  for (const name in headers) {
+    const value = headers[name];
+    if (value === undefined || HOP_BY_HOP.has(name) || dropped.has(name)) {
+      continue;
+    }
+    if (named.includes(name)) {
       continue;
     }
-    if (dropped.has(name) || named.includes(name)) {
+    if (typeof value === 'string') {
+      kept.push(name, value);
       continue;
     }
-    kept[name] = typeof value === 'string' ? value : [...value];
+    for (const part of value) {
+      kept.push(name, part);
+    }
   }
   return kept;
 }
@@ -56,8 +67,8 @@
 function connectionOptions(
   value: string | readonly string[] | undefined,
 ): readonly string[] {
-  if (value === undefined) {
-    return [];
+  if (value === undefined || value === 'keep-alive' || value === 'close') {
+    return NO_OPTIONS;
   }
   const text = typeof value === 'string' ? value : value.join(',');
   return text.split(',').map(name => name.trim().toLowerCase());
--- a/src/daemon/effect_runner_test.ts
+++ b/src/daemon/effect_runner_test.ts
@@ -94,7 +94,7 @@
       deadlineMs: undefined,
     };
     const response = {} as ServerResponse;
-    const exchange = new Exchange(request, {}, undefined, response, () => {});
+    const exchange = new Exchange(request, [], undefined, response, () => {});
     server.open.set(requestId, exchange);
     return exchange;
   };
--- a/src/target_http/attempt.ts
+++ b/src/target_http/attempt.ts
@@ -14,7 +14,8 @@
   readonly method: string;
   /** Path with query, starting with a slash. */
   readonly path: string;
-  readonly headers: Readonly<Record<string, string | string[]>>;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
   /** Undefined for a request without body. */
   readonly body: Buffer | undefined;
   readonly freshness: 'any' | 'proven';
--- a/src/target_http/connection_pool.ts
+++ b/src/target_http/connection_pool.ts
@@ -243,11 +243,13 @@
       attempt.finish({type: 'cancelled', bytesSent: false});
       return;
     }
-    connection.send(attempt, {
+    connection.send(attempt, [
       ...attempt.request.headers,
-      'x-timeout-ms': String(Math.max(1, Math.floor(remainingMs))),
-      'x-request-token': attempt.request.token,
-    });
+      'x-timeout-ms',
+      String(Math.max(1, Math.floor(remainingMs))),
+      'x-request-token',
+      attempt.request.token,
+    ]);
   }
 
   private onClosed(
--- a/src/target_http/target_client.ts
+++ b/src/target_http/target_client.ts
@@ -170,7 +170,7 @@
     token,
     method: 'GET',
     path: '/load',
-    headers: {},
+    headers: [],
     body: undefined,
     freshness: 'any',
     deadlineMs: nowMs + PROBE_TIMEOUT_MS,
--- a/src/target_http/target_connection.ts
+++ b/src/target_http/target_connection.ts
@@ -121,12 +121,9 @@
    * Sends a request. The connection must be usable and idle.
    *
    * @param attempt - receives the signals
-   * @param headers - headers of this sending
+   * @param headers - headers of this sending, names and values in turn
    */
-  send(
-    attempt: Attempt,
-    headers: Readonly<Record<string, string | string[]>>,
-  ): void {
+  send(attempt: Attempt, headers: string[]): void {
     this.current = attempt;
     const {method, path, body} = attempt.request;
     this.client.dispatch(
