Compute each target's estimate once per choice

Cause: a choice looked up the state of every target twice, built two views and evaluated the load of others three times and the refusals twice per target.

Change: the health table counts ejected targets and targets on probation, so that a pool without any skips the look-ups; each view is built once.

--- a/src/health/health_table.ts
+++ b/src/health/health_table.ts
@@ -68,6 +68,8 @@
   private readonly targets = new Map<string, TargetHealth>();
   private nextTimerMs: InstantMs = Number.POSITIVE_INFINITY;
   private graceEndMs: InstantMs = Number.NEGATIVE_INFINITY;
+  /** Targets that are ejected or on probation. */
+  private restrictedCount = 0;
 
   /**
    * @param settings - ejection bound and slow start of the service
@@ -115,6 +117,10 @@
    * @param targetId - target that left the service
    */
   remove(targetId: string): void {
+    const target = this.targets.get(targetId);
+    if (target !== undefined && isRestricted(target.state)) {
+      this.restrictedCount -= 1;
+    }
     this.targets.delete(targetId);
   }
 
@@ -173,6 +179,18 @@
     return new Set(ejected);
   }
 
+  /**
+   * Tells whether every target is in a state without restrictions, so that
+   * callers need not look at each one.
+   *
+   * @param nowMs - current instant in milliseconds
+   * @returns true if no target is ejected or on probation
+   */
+  allHealthy(nowMs: InstantMs): boolean {
+    this.runTimers(nowMs);
+    return this.restrictedCount === 0;
+  }
+
   /**
    * Looks up the state of a target as of the last call that took an instant.
    *
@@ -230,6 +248,8 @@
     if (from === 'probation' && to === 'healthy') {
       target.slowStartMs = nowMs;
     }
+    this.restrictedCount += Number(isRestricted(to));
+    this.restrictedCount -= Number(isRestricted(from));
     target.state = to;
     target.counts.clear();
     target.timerMs =
@@ -263,6 +283,11 @@
   }
 }
 
+/** True for a state in which a target gets no or hardly any requests. */
+function isRestricted(state: HealthState): boolean {
+  return state === 'probation' || !healthMeta(state).usable;
+}
+
 /** Duration of the n-th ejection in a row, in milliseconds. */
 function ejectionMs(count: number): number {
   return Math.min(FIRST_EJECTION_MS * 2 ** (count - 1), MAX_EJECTION_MS);
--- a/src/routing/service_target_pool.ts
+++ b/src/routing/service_target_pool.ts
@@ -14,7 +14,7 @@
   type RoutingPolicy,
   type TargetView,
 } from './routing_policy.js';
-import {TargetLoad} from './target_load.js';
+import {TargetLoad, type OtherLoad} from './target_load.js';
 import {
   TargetPool,
   type AttemptOutcome,
@@ -221,9 +221,12 @@
       return {type: 'none'};
     }
     const permitted = this.permittedFor(kind);
-    const remaining = permitted.filter(
-      target => !excludedTargetIds.includes(target.targetId),
-    );
+    const remaining =
+      excludedTargetIds.length === 0
+        ? permitted
+        : permitted.filter(
+            target => !excludedTargetIds.includes(target.targetId),
+          );
     if (remaining.length === 0) {
       return {type: 'none'};
     }
@@ -443,6 +446,9 @@
     targets: readonly PoolTarget[],
     nowMs: InstantMs,
   ): readonly PoolTarget[] {
+    if (this.health.allHealthy(nowMs)) {
+      return targets;
+    }
     const openIds = this.open().map(target => target.targetId);
     const ejected = this.health.ejectedAmong(openIds, nowMs);
     const healthy = targets.filter(
@@ -477,13 +483,20 @@
     nowMs: InstantMs,
   ): readonly TargetView[] {
     const mean = this.meanOthers(nowMs);
-    return targets.map(target => {
-      const factor = this.health.slowStartFactor(target.targetId, nowMs);
+    // Runs for each target and request, so nothing is computed twice.
+    return targets.map(({targetId, listed, load}) => {
+      const factor = this.health.slowStartFactor(targetId, nowMs);
+      const others = load.others(nowMs);
+      const refusals = load.refusals.valueAt(nowMs);
       return {
-        ...this.baselineView(target, preset),
-        estimatedInFlight: this.estimate(target.load, mean, nowMs),
-        confirmedInFlight: this.confirmed(target.load, nowMs),
-        failurePenalty: target.load.failures.valueAt(nowMs),
+        targetId,
+        sameFailureDomain: listed?.failureDomain === this.options.failureDomain,
+        ownInFlight: load.ownInFlight,
+        estimatedInFlight:
+          load.ownInFlight + this.expectedOthers(others, mean) + refusals,
+        confirmedInFlight:
+          load.ownInFlight + this.confirmedOthers(others) + refusals,
+        failurePenalty: load.failures.valueAt(nowMs),
         usableSlots: Math.max(preset.slotsPerTarget * factor, 1),
       };
     });
@@ -505,23 +518,24 @@
 
   /** Estimated requests of all VMs at a target, for the order. */
   private estimate(load: TargetLoad, mean: number, nowMs: InstantMs): number {
-    const others = load.others(nowMs);
+    const expected = this.expectedOthers(load.others(nowMs), mean);
+    return load.ownInFlight + expected + load.refusals.valueAt(nowMs);
+  }
+
+  /** Expected load by others: the report, giving way to the mean. */
+  private expectedOthers(others: OtherLoad | undefined, mean: number): number {
     const weight =
       others === undefined
         ? 0
         : decay(others.ageMs, this.tuning.orderHalfLifeMs);
-    const expected = weight * (others?.inFlight ?? 0) + (1 - weight) * mean;
-    return load.ownInFlight + expected + load.refusals.valueAt(nowMs);
+    return weight * (others?.inFlight ?? 0) + (1 - weight) * mean;
   }
 
-  /** Requests at a target for which there is recent evidence. */
-  private confirmed(load: TargetLoad, nowMs: InstantMs): number {
-    const others = load.others(nowMs);
-    const expected =
-      others === undefined
-        ? 0
-        : others.inFlight * decay(others.ageMs, this.tuning.fullHalfLifeMs);
-    return load.ownInFlight + expected + load.refusals.valueAt(nowMs);
+  /** Load by others for which there is recent evidence. */
+  private confirmedOthers(others: OtherLoad | undefined): number {
+    return others === undefined
+      ? 0
+      : others.inFlight * decay(others.ageMs, this.tuning.fullHalfLifeMs);
   }
 
   /** Mean load of others over the targets, newer reports weighing more. */
--- a/src/routing/target_load.ts
+++ b/src/routing/target_load.ts
@@ -22,8 +22,12 @@
 /** Age of a peer's count when it arrives by gossip, in milliseconds. */
 const GOSSIP_LAG_MS = 250;
 
-/** Load that others cause at a target. */
-interface OtherLoad {
+/**
+ * Load that others cause at a target.
+ *
+ * @internal
+ */
+export interface OtherLoad {
   readonly inFlight: number;
   /** Time since it was measured, in milliseconds. */
   readonly ageMs: number;
