Publish the implications of a crash with the next tick

Cause: a VM told its peers of an implicated request up to 250 ms after the crash. Until a VM knows, a copy of the request takes down one more target.

Change: a crash makes the publisher run with the next tick, at most 10 ms later.

--- a/src/engine/attempt_flow.ts
+++ b/src/engine/attempt_flow.ts
@@ -235,6 +235,8 @@
       quarantine.isImplicated(fingerprint, nowMs),
     );
     quarantine.onCrash(targetId, fingerprints, nowMs);
+    // Each VM that does not know of it yet may lose another target.
+    this.context.hasUrgentFacts = true;
     const details = {targetId, requestCount: fingerprints.length};
     this.context.event('target', 'target-crashed', details);
     return isBlamed;
--- a/src/engine/engine_context.ts
+++ b/src/engine/engine_context.ts
@@ -53,6 +53,8 @@
   vmList: VmListDocument | undefined;
   readyVmIds: readonly string[] = [];
   liveVmIds: readonly string[];
+  /** True if facts must be published with the next tick. */
+  hasUrgentFacts = false;
   private effects: Effect[] = [];
   private tokenCount = 0;
 
--- a/src/engine/fact_publisher.ts
+++ b/src/engine/fact_publisher.ts
@@ -28,12 +28,14 @@
 
   constructor(private readonly context: EngineContext) {}
 
-  /** Publishes what changed, at most every 250 ms. */
+  /** Publishes what changed, at most every 250 ms unless it is urgent. */
   publishIfDue(nowMs: InstantMs): void {
     const lastMs = this.publishedMs ?? -Infinity;
-    if (nowMs - lastMs < PUBLISH_INTERVAL_MS) {
+    const isDue = nowMs - lastMs >= PUBLISH_INTERVAL_MS;
+    if (!isDue && !this.context.hasUrgentFacts) {
       return;
     }
+    this.context.hasUrgentFacts = false;
     this.publishedMs = nowMs;
     const facts = this.collect(nowMs);
     for (const [key, value] of facts) {
--- a/src/engine/request_engine_test.ts
+++ b/src/engine/request_engine_test.ts
@@ -354,3 +354,17 @@
   }
   assert.equal(cheapInLane.size, 2);
 });
+
+test('an implication in a crash is published with the next tick', () => {
+  // Guards against a crashing request that takes down a target for each VM
+  // that learns of it only after the ordinary interval of 250 ms.
+  const engine = readyEngine({seed: 1, targetCount: 3, nowMs: 0});
+  engine.onTick(0);
+  const send = find(engine.onRequest(fixtureRequest('r1'), 1), 'send');
+  engine.onAttemptSignal(send.token, {type: 'sent'}, 2);
+  engine.onAttemptSignal(send.token, crashed, 3);
+  const {key, value} = find(engine.onTick(10), 'publish');
+  assert.equal(key, 'quarantine/hash-r1');
+  assert.equal(value, JSON.stringify([send.targetId]));
+  assert.ok(!engine.onTick(20).some(({type}) => type === 'publish'));
+});
