Reply to an exchange with missing entries only

Change: PeerService answers with missingFrom(digest); GrpcTransport pushes with deltaFor(digest, {listedOnly: true}).

--- a/src/daemon/grpc_transport.ts
+++ b/src/daemon/grpc_transport.ts
@@ -39,7 +39,7 @@
     }
     const {deltas, digest} = answer.value;
     onFacts(membership.merge(deltas, clock.nowMs()));
-    const missing = membership.deltaFor(digest);
+    const missing = membership.deltaFor(digest, {listedOnly: true});
     return missing.length === 0 || (await client.push(peer, missing)).isOk();
   }
 
--- a/src/daemon/peer_service.ts
+++ b/src/daemon/peer_service.ts
@@ -59,7 +59,7 @@
     checkPause();
     return {
       deltas: membership.deltaFor(digest),
-      digest: membership.digest(),
+      digest: membership.missingFrom(digest),
     };
   }
 
--- a/src/peer_grpc/peer_client.ts
+++ b/src/peer_grpc/peer_client.ts
@@ -119,7 +119,7 @@
    *
    * @param peer - address of the callee
    * @param digest - own digest
-   * @returns the facts that this VM lacks and the callee's digest
+   * @returns the facts that this VM lacks and the entries that the callee lacks
    */
   async exchange(
     peer: PeerAddress,
