--- a/src/engine/fact_publisher.ts
+++ b/src/engine/fact_publisher.ts
@@ -15,8 +15,9 @@
 const DELETED = '';
 
 /**
- * Publishes loads, reports, drain signs and implications when they changed,
- * and records changes of target health as events.
+ * Publishes reports, drain signs and implications when they changed, and
+ * records changes of target health as events. In-flight counts are not
+ * published: at the age at which they arrive they changed no latency.
  *
  * @internal
  */
@@ -73,10 +74,6 @@
       statuses.set(status.targetId, status);
       this.recordChange(status);
     }
-    const load = loadOf(service);
-    if (load !== undefined) {
-      facts.set(`load/${service.name}`, load);
-    }
     for (const target of service.targets.values()) {
       this.collectReport(target, facts, nowMs);
       collectDrain(target, statuses.get(target.targetId), facts);
@@ -119,17 +116,6 @@
   }
 }
 
-/** In-flight attempts per target as JSON; undefined without any. */
-function loadOf(service: ServiceState): string | undefined {
-  const loads: Record<string, number> = {};
-  for (const target of service.targets.values()) {
-    if (target.requests.size > 0) {
-      loads[target.targetId] = target.requests.size;
-    }
-  }
-  return Object.keys(loads).length > 0 ? JSON.stringify(loads) : undefined;
-}
-
 /** A sign ends when a newer VM list has cleared the flag in the pool. */
 function collectDrain(
   target: KnownTarget,
--- a/src/engine/peer_facts.ts
+++ b/src/engine/peer_facts.ts
@@ -11,8 +11,6 @@
 
 const count = z.number().int().nonnegative();
 
-const loadSchema = z.record(z.string(), count);
-
 const reportSchema = z.object({
   inFlight: count,
   draining: z.boolean(),
@@ -33,8 +31,6 @@
  * @internal
  */
 export class PeerFacts {
-  /** Targets with load per service, by VM. */
-  private readonly loads = new Map<string, Map<string, readonly string[]>>();
   /** Draining targets that the own VM list does not hold yet. */
   private readonly unlistedDrains = new Set<string>();
 
@@ -47,9 +43,7 @@
     }
     const [topic, subject] = splitAt(fact.key);
     const value = parseJson(fact.value);
-    if (topic === 'load') {
-      this.onLoad(fact, subject, value, nowMs);
-    } else if (fact.value === '') {
+    if (fact.value === '') {
       // A deleted report, drain sign or implication takes nothing back.
       return;
     } else if (topic === 'report') {
@@ -61,18 +55,6 @@
     }
   }
 
-  /** Drops the loads of VMs that are no longer alive. */
-  onLiveVms(liveVmIds: readonly string[], nowMs: InstantMs): void {
-    for (const [vmId, services] of this.loads) {
-      if (!liveVmIds.includes(vmId)) {
-        for (const name of services.keys()) {
-          this.applyLoad(vmId, name, {}, nowMs);
-        }
-        this.loads.delete(vmId);
-      }
-    }
-  }
-
   /** Applies drain signs that came before their target was listed. */
   onTargetsListed(nowMs: InstantMs): void {
     for (const targetId of this.unlistedDrains) {
@@ -84,44 +66,6 @@
     }
   }
 
-  private onLoad(
-    fact: Fact,
-    serviceName: string,
-    value: unknown,
-    nowMs: InstantMs,
-  ): void {
-    const parsed = loadSchema.safeParse(fact.value === '' ? {} : value);
-    if (!parsed.success) {
-      this.reject(fact);
-      return;
-    }
-    const [vmId] = splitAt(fact.ownerId);
-    this.applyLoad(vmId, serviceName, parsed.data, nowMs);
-  }
-
-  private applyLoad(
-    vmId: string,
-    serviceName: string,
-    load: Readonly<Record<string, number>>,
-    nowMs: InstantMs,
-  ): void {
-    const pool = this.context.services.get(serviceName)?.pool;
-    if (pool === undefined) {
-      return;
-    }
-    const byService = this.loads.get(vmId) ?? new Map();
-    for (const targetId of byService.get(serviceName) ?? []) {
-      if (load[targetId] === undefined) {
-        pool.onPeerLoad(vmId, targetId, 0, nowMs);
-      }
-    }
-    for (const [targetId, inFlight] of Object.entries(load)) {
-      pool.onPeerLoad(vmId, targetId, inFlight, nowMs);
-    }
-    byService.set(serviceName, Object.keys(load));
-    this.loads.set(vmId, byService);
-  }
-
   private onReport(
     fact: Fact,
     targetId: string,
--- a/src/engine/request_engine.ts
+++ b/src/engine/request_engine.ts
@@ -139,7 +139,6 @@
     for (const service of this.context.services.values()) {
       this.applyLiveVms(service);
     }
-    this.peerFacts.onLiveVms(this.context.liveVmIds, nowMs);
     this.dispatchAll(nowMs);
     return this.context.takeEffects();
   }
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -24,12 +24,6 @@
 /** A replacement that starts declares older incarnations for this long. */
 const REPLACE_WINDOW_MS = 10_000;
 
-/** Members for which the interval of load facts doubles once. */
-const LOAD_GROUP_SIZE = 12;
-
-const MAX_LOAD_INTERVAL_MS = 4_000;
-
-const LOAD_PREFIX = 'load/';
 const ADDRESS_KEY = 'address';
 const STATE_KEY = 'state';
 const HEARTBEAT_KEY = 'heartbeat';
@@ -41,11 +35,6 @@
   readonly startMs: InstantMs;
   /** Interval between two heartbeats, 250 by default. */
   readonly roundMs?: number;
-  /**
-   * Least time between two publications of a load fact. By default one round
-   * for up to 12 members, doubled for each further 12, at most 4,000.
-   */
-  readonly loadIntervalMs?: number;
   /** Silence until a member is suspected, 2,000 by default. */
   readonly suspectAfterMs?: number;
   /** Silence until a member is dead, 5,000 by default. */
@@ -90,9 +79,6 @@
   private readonly contacts: ContactList;
   private ownState: AnnouncedState = 'starting';
   private heartbeat = 0;
-  private readonly fixedLoadIntervalMs: number | undefined;
-  private readonly nextLoadMs = new Map<string, InstantMs>();
-  private readonly pendingLoads = new Map<string, string>();
   private nextHeartbeatMs: InstantMs;
   private nowMs: InstantMs;
   private replacedById: string | undefined;
@@ -108,7 +94,6 @@
     this.nowMs = startMs;
     this.nextHeartbeatMs = startMs;
     this.roundMs = options.roundMs ?? ROUND_MS;
-    this.fixedLoadIntervalMs = options.loadIntervalMs;
     this.store = new FactStore({
       selfId: this.selfId,
       maxFactsPerMessage: options.maxFactsPerMessage ?? 200,
@@ -139,23 +124,14 @@
   }
 
   /**
-   * Publishes or replaces a fact. A load fact that follows another within
-   * `loadIntervalMs` waits, and the newest value is published by a later tick.
+   * Publishes or replaces a fact.
    *
    * @param key - fact key
    * @param value - JSON text; empty to delete
    * @throws FactLimitError if too many facts of this VM are kept
    */
   override publish(key: string, value: string): void {
-    const isLoad = key.startsWith(LOAD_PREFIX);
-    if (isLoad && this.nowMs < (this.nextLoadMs.get(key) ?? -Infinity)) {
-      this.pendingLoads.set(key, value);
-      return;
-    }
     this.store.publish(key, value, this.nowMs);
-    if (isLoad) {
-      this.nextLoadMs.set(key, this.nowMs + this.loadIntervalMs());
-    }
   }
 
   override factsByPrefix(prefix: string): readonly Fact[] {
@@ -238,7 +214,6 @@
       this.heartbeat += 1;
       this.publish(HEARTBEAT_KEY, String(this.heartbeat));
       this.store.expire(nowMs);
-      this.publishPendingLoads();
     }
     for (const {ownerId, hasLeft} of this.table.advance(nowMs)) {
       this.store.remove(ownerId, hasLeft, nowMs);
@@ -275,28 +250,6 @@
     return this.store.size();
   }
 
-  /** Bytes grow with members times rate; 24 VMs must stay below 12 KB/s. */
-  private loadIntervalMs(): number {
-    const groupCount = Math.ceil((this.table.size() + 1) / LOAD_GROUP_SIZE);
-    const adaptedMs = this.roundMs * 2 ** (groupCount - 1);
-    return (
-      this.fixedLoadIntervalMs ?? Math.min(adaptedMs, MAX_LOAD_INTERVAL_MS)
-    );
-  }
-
-  private publishPendingLoads(): void {
-    for (const [key, dueMs] of this.nextLoadMs) {
-      if (dueMs <= this.nowMs) {
-        this.nextLoadMs.delete(key);
-        const value = this.pendingLoads.get(key);
-        this.pendingLoads.delete(key);
-        if (value !== undefined) {
-          this.publish(key, value);
-        }
-      }
-    }
-  }
-
   private computeReadyVmIds(): readonly string[] {
     const ready = this.members().filter(member => member.state === 'ready');
     const vmIds = ready.map(member => member.incarnation.vmId);
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -11,5 +11,4 @@
   ROUND_MS,
   type GossipMembershipOptions,
 } from './gossip_membership.js';
-export {LoadCountsCodec} from './load_counts.js';
 export {ownerIdOf} from './member_table.js';
--- a/src/membership/member_table.ts
+++ b/src/membership/member_table.ts
@@ -165,11 +165,6 @@
     return changes;
   }
 
-  /** Number of members known, dead ones included. */
-  size(): number {
-    return this.records.size;
-  }
-
   /** Tells whether changes wait to be taken. */
   hasChanges(): boolean {
     return this.changes.length > 0;
--- a/src/routing/service_target_pool.ts
+++ b/src/routing/service_target_pool.ts
@@ -106,7 +106,7 @@
  *
  * Two estimates are made of a target. Both hold the own attempts in flight,
  * which are exact, the refusal penalty, and `others`: the newest report less
- * the own count at its instant, or the peers' counts if no report came for 2 s.
+ * the own count at its instant, or nothing if no report came for 2 s.
  *
  * - For the order, `others` gives way to the mean of others over the service
  *   with a half-life of 20 ms of age. Whole requests are compared: VMs that
@@ -306,23 +306,6 @@
     }
   }
 
-  override onPeerLoad(
-    vmId: string,
-    targetId: string,
-    inFlight: number,
-    nowMs: InstantMs,
-  ): void {
-    const target = this.targets.get(targetId);
-    const believed = this.believed(inFlight);
-    if (
-      target?.listed !== undefined &&
-      believed !== undefined &&
-      vmId !== this.options.vmId
-    ) {
-      target.load.onPeer(vmId, believed, nowMs);
-    }
-  }
-
   override markDraining(
     targetId: string,
     signal: DrainSignal,
--- a/src/routing/target_load.ts
+++ b/src/routing/target_load.ts
@@ -19,9 +19,6 @@
  */
 const PENALTY_HALF_LIFE_MS = 500;
 
-/** Age of a peer's count when it arrives by gossip, in milliseconds. */
-const GOSSIP_LAG_MS = 250;
-
 /** Load that others cause at a target. */
 interface OtherLoad {
   readonly inFlight: number;
@@ -42,7 +39,7 @@
 }
 
 /**
- * Own in-flight count, newest report, peers' counts and penalties of a target.
+ * Own in-flight count, newest report and penalties of a target.
  *
  * The own count is always exact. Only the remainder of a report, the load that
  * others cause, grows old.
@@ -60,7 +57,6 @@
   private report: KnownReport | undefined;
   /** Own count at the instant of the report. */
   private ownAtReport = 0;
-  private readonly peers = new Map<string, KnownReport>();
 
   /** Instant of the newest report; undefined if there is none. */
   get reportMeasuredMs(): InstantMs | undefined {
@@ -102,25 +98,7 @@
   }
 
   /**
-   * Takes in the count of a peer.
-   *
-   * @param vmId - peer
-   * @param inFlight - its attempts in flight at the target
-   * @param nowMs - current instant in milliseconds
-   */
-  onPeer(vmId: string, inFlight: number, nowMs: InstantMs): void {
-    const measuredMs = nowMs - GOSSIP_LAG_MS;
-    this.peers.set(vmId, {inFlight, measuredMs});
-    for (const [peerId, peer] of this.peers) {
-      if (nowMs - peer.measuredMs > REPORT_EXPIRY_MS) {
-        this.peers.delete(peerId);
-      }
-    }
-  }
-
-  /**
-   * Computes the load that others cause: by the newest report, else by the
-   * counts of the peers.
+   * Computes the load that others cause by the newest report.
    *
    * @param nowMs - current instant in milliseconds
    * @returns load and age; undefined if nothing new enough is known
@@ -128,27 +106,12 @@
   others(nowMs: InstantMs): OtherLoad | undefined {
     const ageMs = Math.max(nowMs - (this.report?.measuredMs ?? -Infinity), 0);
     if (this.report === undefined || ageMs > REPORT_EXPIRY_MS) {
-      return this.peerSum(nowMs);
+      return undefined;
     }
     const inFlight = Math.max(this.report.inFlight - this.ownAtReport, 0);
     return {inFlight, ageMs};
   }
 
-  /** Sum of the peers' counts with their mean age. */
-  private peerSum(nowMs: InstantMs): OtherLoad | undefined {
-    let inFlight = 0;
-    let sumAgeMs = 0;
-    let count = 0;
-    for (const peer of this.peers.values()) {
-      if (nowMs - peer.measuredMs <= REPORT_EXPIRY_MS) {
-        inFlight += peer.inFlight;
-        sumAgeMs += nowMs - peer.measuredMs;
-        count += 1;
-      }
-    }
-    return count === 0 ? undefined : {inFlight, ageMs: sumAgeMs / count};
-  }
-
   /** Drops changes at or before an instant. */
   private dropChangesBefore(atMs: InstantMs): void {
     const first = this.changes.findIndex(change => change.atMs > atMs);
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -92,14 +92,6 @@
   /** Takes in a load report; an older one than the newest known is ignored. */
   abstract onReport(report: LoadReport, nowMs: InstantMs): void;
 
-  /** Takes in the in-flight count of another VM at a target. */
-  abstract onPeerLoad(
-    vmId: string,
-    targetId: string,
-    inFlight: number,
-    nowMs: InstantMs,
-  ): void;
-
   /** Marks a target as draining for good. */
   abstract markDraining(
     targetId: string,
