Count all timeline events and state what each metric counts

Cause: events_total counted only the events of the engine, not those of documents, membership and lifecycle, although its help text says events of the time line. Help texts did not say what is counted. The refusal reason 'truncated' was declared but never given. Change: the event log counts each event that it records; help texts name the object and the unit; the unused reason is removed. Conclusion: operators can alert on membership and document events.

--- a/src/daemon/composition_root.ts
+++ b/src/daemon/composition_root.ts
@@ -79,11 +79,12 @@
 ): void {
   container.bind(Clock).toConstantValue(new SystemClock());
   container.bind(RandomSource).toConstantValue(new SeededRandom({seed}));
-  container.bind(DaemonMetrics).toConstantValue(new DaemonMetrics());
+  const metrics = new DaemonMetrics();
+  container.bind(DaemonMetrics).toConstantValue(metrics);
   const hybridClock = new HybridClock();
   container
     .bind(EventLog)
-    .toConstantValue(new RingEventLog(settings.vmId, hybridClock));
+    .toConstantValue(new RingEventLog(settings.vmId, hybridClock, metrics));
   container.bind(MessageStamp).toConstantValue(new WallClockStamp(hybridClock));
   container.bind(CONFIG_STORE).toConstantValue(createConfigStore());
   container.bind(VM_LIST_STORE).toConstantValue(createVmListStore());
--- a/src/daemon/daemon_metrics.ts
+++ b/src/daemon/daemon_metrics.ts
@@ -17,25 +17,29 @@
 /** Counters and gauges of one daemon. */
 export class DaemonMetrics {
   readonly registry = new Registry();
-  private readonly requests = this.counter('requests_total', 'Requests', [
-    'service',
-  ]);
+  private readonly requests = this.counter(
+    'requests_total',
+    'Requests of callers that were read as a whole, by service',
+    ['service'],
+  );
   private readonly outcomes = this.counter(
     'outcomes_total',
-    'Answers by verdict and reason',
+    'Answers to callers, by verdict and reason; answered: response of a target',
     ['verdict', 'reason'],
   );
   private readonly signals = this.counter(
     'attempt_signals_total',
-    'Steps of attempts at targets',
+    'Steps of attempts at targets, by kind of step',
     ['signal'],
   );
-  private readonly probes = this.counter('probes_total', 'Probes sent', [
-    'service',
-  ]);
+  private readonly probes = this.counter(
+    'probes_total',
+    'Probes sent to targets, by service',
+    ['service'],
+  );
   private readonly engineEvents = this.counter(
     'events_total',
-    'Events of the time line',
+    'Events of the time line, by part and name',
     ['part', 'name'],
   );
   private readonly knownServices = new Set<string>();
@@ -46,14 +50,26 @@
 
   /** Registers gauges over live values. */
   observe(sources: MetricSources): void {
-    this.gauge('in_flight', 'Requests in flight', sources.inFlight);
+    this.gauge(
+      'in_flight',
+      'Requests that are waiting or in flight (count)',
+      sources.inFlight,
+    );
     this.gauge(
       'target_connections',
-      'Open connections to targets',
+      'Open connections to targets (count)',
       sources.targetConnections,
     );
-    this.gauge('members', 'Known VMs', sources.members);
-    this.gauge('claim_records', 'Records of keys', sources.claimRecords);
+    this.gauge(
+      'members',
+      'VMs in the table of this VM, dead ones included (count)',
+      sources.members,
+    );
+    this.gauge(
+      'claim_records',
+      'Records of idempotency keys kept as home VM (count)',
+      sources.claimRecords,
+    );
   }
 
   /** Sets the services that get a label of their own. */
--- a/src/daemon/effect_runner.ts
+++ b/src/daemon/effect_runner.ts
@@ -129,7 +129,7 @@
   }
 
   private run(effect: Effect): void {
-    const {engine, claims, events, targets, metrics} = this.options;
+    const {engine, claims, events, targets} = this.options;
     switch (effect.type) {
       case 'send':
         this.send(effect);
@@ -155,7 +155,6 @@
         this.options.publish(effect.key, effect.value);
         return;
       case 'event':
-        metrics.onEvent(effect.part, effect.name);
         events.record(effect.part, effect.name, effect.details);
         return;
     }
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -42,7 +42,6 @@
   | 'possibly-ran'
   | 'key-mismatch'
   | 'quarantined'
-  | 'truncated'
   | 'retry-budget';
 
 /** How the caller is answered. */
