Name the setting to change when a port is in use

Cause: a daemon whose port was in use logged a stack trace or an empty error object (bunyan had no serializer for errors; gRPC hides the error code). The programs did not state their version, and sycamorepitchd had no help. Conclusion: exit codes of the daemon are 0 planned shutdown, 1 cannot start or shut down, 2 bad usage or unusable settings.

--- a/src/cli/cli_test.ts
+++ b/src/cli/cli_test.ts
@@ -17,6 +17,7 @@
   type VmStatus,
 } from '../preset/index.js';
 import {sampleConfig} from '../preset/sample_documents.js';
+import {PROGRAM_VERSION} from '../settings/index.js';
 import type {TimelineEvent} from '../timeline/index.js';
 import {runCli} from './index.js';
 
@@ -58,6 +59,8 @@
 class VmBench {
   readonly config: DocumentStore<ConfigDocument> = createConfigStore();
   ready = true;
+  /** Undefined as for daemons that do not state their version. */
+  version: string | undefined = '1.2.3';
   events: readonly TimelineEvent[] = [];
   members: readonly string[];
   private platformVersion = 0;
@@ -70,9 +73,10 @@
     this.config.offer(publishedDocument('config', platformVersion, body), 0);
   }
 
-  status(): VmStatus {
+  status(): Omit<VmStatus, 'version'> & {version: string | undefined} {
     const inForce = this.config.adopted?.document.inForce ?? null;
     return {
+      version: this.version,
       vmId: this.vmId,
       bootId: 'b1',
       failureDomain: 'a',
@@ -156,12 +160,28 @@
   }
 });
 
-test('help shows examples', async () => {
+test('each command has help with an example', async () => {
   // Guards against commands that only their author can use.
-  const help = await run(['preset', 'use', '--help']);
-  assert.equal(help.code, 0);
-  assert.match(help.out, /sycamorepitch preset use presets\.jsonc lunch/);
-  assert.match((await run(['--help'])).out, /preset watch/);
+  const commands = [
+    ...['validate', 'show', 'diff', 'use', 'watch'].map(name => [
+      'preset',
+      name,
+    ]),
+    ['status'],
+    ['timeline'],
+  ];
+  const overview = await run(['--help']);
+  for (const command of commands) {
+    const help = await run([...command, '--help']);
+    const name = command.join(' ');
+    assert.equal(help.code, 0, name);
+    const [usage, examples] = help.out.split('Examples');
+    assert.ok(usage?.includes(`$ sycamorepitch ${name}`), name);
+    assert.ok(examples?.includes(`$ sycamorepitch ${name} `), name);
+    assert.ok(overview.out.includes(`sycamorepitch ${name} `), name);
+  }
+  const version = await run(['--version']);
+  assert.equal(version.out, `${PROGRAM_VERSION}\n`);
 });
 
 test('show and diff describe presets in words', async () => {
@@ -269,11 +289,13 @@
   assert.equal(good.code, 0);
   assert.match(
     good.out,
-    /e-01 +a +ready +yes +lunch +1 +1 +[0-9a-f]{12} +1 s ago/,
+    /e-01 +1\.2\.3 +a +ready +yes +lunch +1 +1 +[0-9a-f]{12} +1 s ago/,
   );
   second.ready = false;
   assert.equal((await run(['status', ...options])).code, 1);
   second.ready = true;
+  second.version = undefined;
+  assert.match((await run(['status', ...options])).out, /e-02 +unknown +a/);
   second.offer(sampleConfig(2));
   second.offer('{');
   second.members = ['e-02', 'e-03'];
--- a/src/cli/run_cli.ts
+++ b/src/cli/run_cli.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import {Builtins, Cli, type Command} from 'clipanion';
+import {PROGRAM_VERSION} from '../settings/index.js';
 import {PresetDiff} from './preset_diff.js';
 import {PresetShow} from './preset_show.js';
 import {PresetUse} from './preset_use.js';
@@ -44,9 +45,11 @@
   const cli = new Cli<ToolContext>({
     binaryLabel: 'Command line of sycamorepitch',
     binaryName: 'sycamorepitch',
+    binaryVersion: PROGRAM_VERSION,
     enableColors: isTerminal(context),
   });
   cli.register(Builtins.HelpCommand);
+  cli.register(Builtins.VersionCommand);
   for (const command of COMMANDS) {
     cli.register(command);
   }
--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -71,6 +71,7 @@
 /** Heading of the table. */
 const HEADING = [
   'vm',
+  'version',
   'domain',
   'state',
   'ready',
@@ -89,6 +90,7 @@
   const live = status.members.filter(member => member.state !== 'dead');
   return [
     status.vmId,
+    status.version,
     status.failureDomain,
     status.state,
     status.ready ? 'yes' : 'no',
--- a/src/cli/vm_client.ts
+++ b/src/cli/vm_client.ts
@@ -32,6 +32,8 @@
 
 /** Unknown keys are ignored: VMs of a later version may send more. */
 const statusSchema = z.object({
+  // VMs of the first version do not state it.
+  version: z.string().default('unknown'),
   vmId: z.string(),
   bootId: z.string(),
   failureDomain: z.string(),
--- a/src/daemon/component_log.ts
+++ b/src/daemon/component_log.ts
@@ -34,6 +34,11 @@
     this.logger.warn(`${this.component}: ${sentence}`);
   }
 
+  /** Writes a line about an error of the environment that ends the process. */
+  fatal(sentence: string): void {
+    this.logger.fatal(`${this.component}: ${sentence}`);
+  }
+
   /** Writes a line about a fault in the daemon itself. */
   error(sentence: string, error: unknown): void {
     const err = error instanceof Error ? error : new Error(String(error));
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -19,7 +19,7 @@
   VmTimeline,
 } from '../preset/index.js';
 import type {ClaimBook, HomeVm} from '../recovery/index.js';
-import type {DaemonSettings} from '../settings/index.js';
+import {PROGRAM_VERSION, type DaemonSettings} from '../settings/index.js';
 import type {TargetClient} from '../target_http/index.js';
 import type {ClaimRouter} from './claim_router.js';
 import type {ComponentLog} from './component_log.js';
@@ -29,6 +29,7 @@
 import type {EventLog} from './event_log.js';
 import type {PauseGuard} from './pause_guard.js';
 import type {PeerTransport} from './peer_transport.js';
+import {ListenError, listenOn} from './start_error.js';
 
 /** Interval of the engine's ticks. */
 const TICK_MS = 10;
@@ -118,7 +119,7 @@
    * Opens the ports and starts the periodic work.
    *
    * @returns the ports, of use when the settings ask for any free one
-   * @throws the error of `listen`, for example when a port is in use
+   * @throws ListenError, for example when a port is in use
    */
   async start(): Promise<DaemonPorts> {
     const {settings, callers, documents, reader, membership} = this.parts;
@@ -132,16 +133,20 @@
     });
     const bound = await this.parts.peerServer.start();
     if (bound.isErr()) {
-      throw new Error(bound.error.message);
+      throw new ListenError('peer', settings.peer, bound.error.message);
     }
-    const operatorPort = await this.operator.listen(settings.operator);
-    const callerPort = await callers.listen(settings.caller);
+    const operatorPort = await listenOn('operator', settings.operator, () =>
+      this.operator.listen(settings.operator),
+    );
+    const callerPort = await listenOn('caller', settings.caller, () =>
+      callers.listen(settings.caller),
+    );
     this.every(TICK_MS, () => this.tick());
     this.every(GOSSIP_MS, () => this.gossip());
     this.every(HOUSEKEEPING_MS, () => this.keepHouse());
     this.refreshView();
     this.parts.log.info(
-      `VM ${settings.vmId} listens, callers on port ${callerPort}, operators on port ${operatorPort}`,
+      `VM ${settings.vmId} (version ${PROGRAM_VERSION}) listens, callers on port ${callerPort}, operators on port ${operatorPort}, peers on port ${bound.value}`,
     );
     return {caller: callerPort, operator: operatorPort};
   }
@@ -187,6 +192,7 @@
     const nowMs = clock.nowMs();
     const inForce = configStore.adopted?.document.inForce ?? null;
     return {
+      version: PROGRAM_VERSION,
       vmId: membership.self.vmId,
       bootId: membership.self.bootId,
       failureDomain: settings.failureDomain,
--- a/src/daemon/daemon_test.ts
+++ b/src/daemon/daemon_test.ts
@@ -4,7 +4,7 @@
 import {request as sendRequest} from 'undici';
 import {SeededRandom, SystemClock} from '../core/index.js';
 import type {VmStatus, VmTimeline} from '../preset/index.js';
-import {parseSettings} from '../settings/index.js';
+import {parseSettings, PROGRAM_VERSION} from '../settings/index.js';
 import {PlatformServer} from '../standins/platform_server.js';
 import {TargetLedger} from '../standins/target_ledger.js';
 import {targetSettingsSchema} from '../standins/target_settings.js';
@@ -273,10 +273,14 @@
   const status = (await (await get('/status')).body.json()) as VmStatus;
   assert.equal(status.documents.config.inForce, 'day');
   assert.equal(status.ready, true);
+  assert.equal(status.version, PROGRAM_VERSION);
   const timeline = (await (await get('/timeline')).body.json()) as VmTimeline;
   assert.ok(timeline.events.some(event => event.name === 'ready'));
   const metrics = await (await get('/metrics')).body.text();
   assert.match(metrics, /sycamorepitch_requests_total\{service="desk"\} 1/);
+  // Events that the daemon records without the engine are counted as well.
+  assert.match(metrics, /events_total\{part="process",name="ready"\} 1/);
+  assert.doesNotMatch(metrics, /# HELP sycamorepitch_\w+ *\n/);
   assert.equal((await get('/healthz')).statusCode, 200);
   assert.equal((await get('/readyz')).statusCode, 200);
   assert.equal((await get('/nowhere')).statusCode, 404);
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,17 +1,42 @@
 /**
- * Program `sycamorepitchd`. Argument: path of the settings.
+ * Program `sycamorepitchd`. Argument: path of the settings. Exit codes: 0 after
+ * a planned shutdown, 1 if the daemon cannot start or shut down, 2 for bad
+ * usage or unusable settings.
  *
  * @packageDocumentation
  */
 import 'reflect-metadata';
 import bunyan from 'bunyan';
-import {formatSettingsError, loadSettings} from '../settings/index.js';
+import {
+  formatSettingsError,
+  loadSettings,
+  PROGRAM_VERSION,
+} from '../settings/index.js';
 import {ComponentLog} from './component_log.js';
 import {composeDaemon} from './composition_root.js';
+import {ListenError} from './start_error.js';
+
+/** Exit code of a daemon that cannot start or shut down. */
+const EXIT_FAILED = 1;
 
 /** Exit code for bad usage or unreadable settings. */
 const EXIT_USAGE = 2;
 
+const USAGE = `usage: sycamorepitchd <settings file>
+
+Runs the load balancer on an entry VM until SIGTERM or SIGINT starts a planned
+shutdown. docs/operators.md explains the settings.
+
+Example: sycamorepitchd /etc/sycamorepitch/settings.jsonc
+
+Options:
+  -h, --help  Print this help
+  --version   Print the version
+
+Exit codes: 0 after a planned shutdown, 1 if the daemon cannot start or shut
+down (for example because a port is in use), 2 for bad usage or unusable settings.
+`;
+
 /** Runs the daemon until a signal ends it. */
 async function run(file: string): Promise<void> {
   const loaded = await loadSettings(file);
@@ -25,6 +50,8 @@
     name: 'sycamorepitchd',
     level: settings.logLevel,
     vmId: settings.vmId,
+    // Without it, errors are logged as empty objects.
+    serializers: {err: bunyan.stdSerializers.err},
   });
   const log = new ComponentLog(logger, 'process');
   // A fault in the handling of one request must not end all others.
@@ -39,7 +66,7 @@
     const end = (): void => {
       daemon.shutDown().catch((error: unknown) => {
         log.error('shutdown failed', error);
-        process.exit(1);
+        process.exit(EXIT_FAILED);
       });
     };
     void daemon.ended.then(() => process.exit(0));
@@ -48,14 +75,22 @@
     process.on('SIGINT', end);
     await daemon.start();
   } catch (error) {
-    log.error('start failed', error);
-    process.exit(1);
+    if (error instanceof ListenError) {
+      log.fatal(error.message);
+    } else {
+      log.error('start failed', error);
+    }
+    process.exit(EXIT_FAILED);
   }
 }
 
 const [file] = process.argv.slice(2);
-if (file === undefined) {
-  process.stderr.write('usage: sycamorepitchd <settings file>\n');
+if (file === '--help' || file === '-h') {
+  process.stdout.write(USAGE);
+} else if (file === '--version') {
+  process.stdout.write(`${PROGRAM_VERSION}\n`);
+} else if (file === undefined || file.startsWith('-')) {
+  process.stderr.write(USAGE);
   process.exitCode = EXIT_USAGE;
 } else {
   await run(file);
--- a/src/preset/status_types.ts
+++ b/src/preset/status_types.ts
@@ -41,6 +41,8 @@
 
 /** Answer of `GET /status`. */
 export interface VmStatus {
+  /** Version of the daemon, such as `0.1.0`. */
+  readonly version: string;
   readonly vmId: string;
   readonly bootId: string;
   readonly failureDomain: string;
