--- a/tests/lib/fleet.sh
+++ b/tests/lib/fleet.sh
@@ -158,14 +158,23 @@
   (IFS=,; echo "{\"staleReaders\": [${names[*]}]}")
 }
 
-# watch_status COUNT: records what the VMs report until stop_tool status.
+# watch_status COUNT: records what the VMs report until stop_watch.
 watch_status() {
   local number ports=()
   for number in $(seq "$1"); do ports+=("$(operator_port "$number")"); done
   start_part tool-status node $checkers/status_watch.js "$folder/status.log" "${ports[@]}"
 }
 
-stop_tool() { kill -TERM "$(cat "$folder/tool-$1.pid")"; }
+# stop_watch COUNT: ends watch_status once its last answers are of COUNT ready VMs.
+stop_watch() {
+  local attempt
+  for attempt in $(seq 100); do
+    [ "$(tail -n "$1" "$folder/status.log" | grep '"ready":true' | grep -o '"vmId":"[^"]*"' | sort -u | wc -l)" -eq "$1" ] && break
+    sleep 0.1
+  done
+  kill -TERM "$(cat "$folder/tool-status.pid")"
+  await_end tool-status
+}
 
 # await_revision any|all REVISION COUNT: waits until VMs report the revision.
 await_revision() {
--- a/tests/processes/configuration.sh
+++ b/tests/processes/configuration.sh
@@ -65,6 +65,6 @@
 await_revision all 6 5
 # Long enough for a stale version to come back by gossip.
 sleep 2
-stop_tool status
+stop_watch 5
 node $checkers/versions.js "$folder/status.log" 5 6 \
   --within 2 --within 3 --within 6 --superseded 5
--- /dev/null
+++ b/tests/processes/silent_connections.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Guards against open connections that go silent while new ones work: requests
+# must recover on the same target, which must not be ejected, and nothing may
+# run twice. The silent target is one of two, so that an ejection would show.
+#
+# Usage: silent_connections.sh [seed]. Needs a build. Makes no timing assertion.
+. "$(dirname "$0")/../lib/fleet.sh"
+fleet_open "${1:-71}" 3 --duration-ms 11000 --base-rate 120 --peak-rate 120
+edit caller.json '
+  json.maxSendings = 6;
+  for (const kind of json.kinds) kind.timeoutMs = 5000;'
+fleet_start
+await_views 3
+caller_start
+sleep 3
+target_control 1 '{"target": "t-01", "action": "silence"}'
+sleep 3
+target_control 1 '{"target": "t-01", "action": "silence"}'
+caller_wait
+for vm in 1 2 3; do
+  curl -sf "http://127.0.0.1:$(operator_port "$vm")/timeline" >"$folder/timeline-$vm.json"
+done
+node $checkers/silence.js "$folder" t-01
+node $checkers/truthful_answers.js "$folder" 800
