--- a/src/cli/run_cli.ts
+++ b/src/cli/run_cli.ts
@@ -4,12 +4,14 @@
  * @packageDocumentation
  */
 import {Builtins, Cli, type Command} from 'clipanion';
+import {PROGRAM_VERSION} from '../settings/index.js';
 import {PresetDiff} from './preset_diff.js';
 import {PresetShow} from './preset_show.js';
 import {PresetUse} from './preset_use.js';
 import {PresetValidate} from './preset_validate.js';
 import {PresetWatch} from './preset_watch.js';
 import {StatusCommand} from './status_command.js';
+import {TimelineCommand} from './timeline_command.js';
 import type {ToolContext} from './tool_command.js';
 import {EXIT_CODES, messageOf} from './tool_error.js';
 
@@ -21,6 +23,7 @@
   PresetUse,
   PresetWatch,
   StatusCommand,
+  TimelineCommand,
 ];
 
 /**
@@ -42,9 +45,11 @@
   const cli = new Cli<ToolContext>({
     binaryLabel: 'Command line of sycamorepitch',
     binaryName: 'sycamorepitch',
+    binaryVersion: PROGRAM_VERSION,
     enableColors: isTerminal(context),
   });
   cli.register(Builtins.HelpCommand);
+  cli.register(Builtins.VersionCommand);
   for (const command of COMMANDS) {
     cli.register(command);
   }
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -26,22 +26,30 @@
   readonly sequence: number;
 }
 
+/** A fact as sent to a peer, under its owner. */
+export type FactUpdate = Omit<Fact, 'ownerId'>;
+
 /**
  * Facts of one owner as sent to a peer: all facts after `afterSequence` that
  * were not replaced by later ones, up to the last one listed.
  */
 export interface OwnerDelta {
-  readonly ownerId: string;
+  /** Undefined if the peer knows the owner already. */
+  readonly ownerId: string | undefined;
+  readonly ownerShortId: number;
   /** Entry of the peer's digest; the peer ignores facts that leave a gap. */
   readonly afterSequence: number;
   /** Deletions up to this sequence may be missing. */
   readonly collectedSequence: number;
   /** Ascending by sequence. */
-  readonly facts: readonly Fact[];
+  readonly facts: readonly FactUpdate[];
 }
 
-/** Greatest sequence known of each owner. */
-export type Digest = ReadonlyMap<string, number>;
+/**
+ * Greatest sequence known of each owner, by the owner's short id (52 bits of
+ * the hash of its owner id).
+ */
+export type Digest = ReadonlyMap<number, number>;
 
 /** Lifecycle of a member as seen by this VM. */
 export type MemberState = 'starting' | 'ready' | 'leaving' | 'suspect' | 'dead';
@@ -97,8 +105,21 @@
   /** Digest of all facts. */
   abstract digest(): Digest;
 
-  /** Facts that the owner of the digest lacks, oldest first, bounded. */
-  abstract deltaFor(digest: Digest): readonly OwnerDelta[];
+  /**
+   * Entries of a peer's digest that are ahead of this VM, with the sequence
+   * known here; a shorter reply to an exchange than the whole digest.
+   */
+  abstract missingFrom(digest: Digest): Digest;
+
+  /**
+   * Facts that the owner of the digest lacks, oldest first, bounded. With
+   * `listedOnly`, the digest is a reply of `missingFrom`, and owners that it
+   * does not list are left out.
+   */
+  abstract deltaFor(
+    digest: Digest,
+    options?: {readonly listedOnly: boolean},
+  ): readonly OwnerDelta[];
 
   /** Takes in facts; returns those that were new. */
   abstract merge(
