Keep part of the retry budget for kinds above the lowest worth

Cause: when the retry budget runs low, retries of price checks and stock lookups took the tokens that bookings and placements needed.

Change: a retry of the cheapest kind must leave 5 tokens. Kinds that all have the same worth are not affected. Worths come from the preset.

--- a/src/engine/attempt_flow.ts
+++ b/src/engine/attempt_flow.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type {InstantMs} from '../core/index.js';
-import {Attempt, decideRetry} from '../retries/index.js';
+import {Attempt, decideRetry, type RetryCost} from '../retries/index.js';
 import type {AttemptOutcome} from '../routing/index.js';
 import type {ActiveRequest} from './active_request.js';
 import type {Completion} from './completion.js';
@@ -24,6 +24,13 @@
  */
 const REFUSAL_RETRY_COST = 0.2;
 
+/**
+ * Tokens that retries of the cheapest kind leave for the others. Half of the
+ * level up to which tokens return without traffic, so that a service of little
+ * traffic retries all kinds.
+ */
+const CHEAPEST_KIND_RESERVE = 5;
+
 /** A request together with its current attempt. */
 interface Running {
   readonly request: ActiveRequest;
@@ -312,8 +319,7 @@
       nowMs,
     });
     if (decision.type === 'retry') {
-      const cost =
-        cause === 'overloaded' ? REFUSAL_RETRY_COST : ORDINARY_RETRY_COST;
+      const cost = retryCostOf(request, cause);
       const isAllowed = request.service.budget.tryTake(nowMs, cost);
       return isAllowed ? undefined : 'retry-budget';
     }
@@ -366,3 +372,12 @@
       .observeUnfinished(nowMs - attempt.sentMs, nowMs);
   }
 }
+
+/** What a retry takes of the budget, by cause and worth of the request. */
+function retryCostOf(request: ActiveRequest, cause: RefusalReason): RetryCost {
+  const isCheapest = request.snapshot.isCheapest(request.kind);
+  return {
+    cost: cause === 'overloaded' ? REFUSAL_RETRY_COST : ORDINARY_RETRY_COST,
+    reserve: isCheapest ? CHEAPEST_KIND_RESERVE : 0,
+  };
+}
--- a/src/engine/dispatcher.ts
+++ b/src/engine/dispatcher.ts
@@ -216,13 +216,9 @@
   }
 }
 
-/**
- * True for urgent kinds and for those that are worth more than the cheapest
- * kind of their service.
- */
+/** True for urgent kinds and for short ones above the lowest worth. */
 function keepsOutOfLane({kind, snapshot}: ActiveRequest): boolean {
-  const isWorthy = kind.worth > snapshot.lowestWorth;
-  return kind.urgent || (isWorthy && !kind.long);
+  return kind.urgent || (!kind.long && snapshot.exceedsLowestWorth(kind));
 }
 
 /** True while an urgent request keeps out of the subset for long kinds. */
--- a/src/engine/service_snapshot.ts
+++ b/src/engine/service_snapshot.ts
@@ -16,8 +16,8 @@
   readonly preset: ServicePreset;
   /** Connections of this VM to one target. */
   readonly maxConnections: number;
-  /** Worth of the cheapest kind. */
-  readonly lowestWorth: number;
+  private readonly lowestWorth: number;
+  private readonly greatestWorth: number;
   private readonly kindsByPrefixLength: readonly KindPreset[];
 
   constructor(preset: ServicePreset, vmCeiling: number) {
@@ -26,12 +26,24 @@
       preset.connectionsPerTarget,
       vmCeiling,
     );
-    this.lowestWorth = Math.min(...preset.kinds.map(({worth}) => worth));
+    const worths = preset.kinds.map(({worth}) => worth);
+    this.lowestWorth = Math.min(...worths);
+    this.greatestWorth = Math.max(...worths);
     this.kindsByPrefixLength = [...preset.kinds].sort(
       (a, b) => b.pathPrefix.length - a.pathPrefix.length,
     );
   }
 
+  /** True for kinds of the lowest worth, if others are worth more. */
+  isCheapest({worth}: KindPreset): boolean {
+    return worth === this.lowestWorth && worth < this.greatestWorth;
+  }
+
+  /** True for kinds of more than the lowest worth. */
+  exceedsLowestWorth({worth}: KindPreset): boolean {
+    return worth > this.lowestWorth;
+  }
+
   /** Finds the kind with the method and the longest matching prefix. */
   kindOf(method: string, path: string): KindPreset | undefined {
     return this.kindsByPrefixLength.find(
--- a/src/retries/index.ts
+++ b/src/retries/index.ts
@@ -11,7 +11,7 @@
   type AttemptEvent,
   type AttemptState,
 } from './attempt_chart.js';
-export {RetryBudget} from './retry_budget.js';
+export {RetryBudget, type RetryCost} from './retry_budget.js';
 export {
   decideRetry,
   MAX_ATTEMPTS,
--- a/src/retries/retries_test.ts
+++ b/src/retries/retries_test.ts
@@ -115,26 +115,28 @@
   );
 });
 
-test('a retry after a refusal costs a part of a token', () => {
+test('a retry costs its tokens and leaves the reserve', () => {
   // Guards against retries of refused requests that use up the budget for
-  // failures, or that no budget bounds.
+  // failures, that no budget bounds, or that take the reserve of others.
+  // All amounts are multiples of 1/8, so sums are exact.
   fc.assert(
     fc.property(
-      fc.array(fc.constantFrom(0.2, 1), {maxLength: 200}),
+      fc.array(fc.constantFrom(0.25, 1), {maxLength: 200}),
       fc.integer({min: 0, max: 100}),
-      (costs, firstAttempts) => {
-        const budget = new RetryBudget({share: 0.1, startMs: 0});
+      fc.integer({min: 0, max: 20}),
+      (costs, firstAttempts, reserve) => {
+        const budget = new RetryBudget({share: 0.125, startMs: 0});
         for (let count = 0; count < firstAttempts; count += 1) {
           budget.onFirstAttempt();
         }
         const before = budget.remaining;
         let spent = 0;
         for (const cost of costs) {
-          const isAllowed = budget.tryTake(0, cost);
-          assert.equal(isAllowed, cost <= before - spent + 1e-9);
+          const isAllowed = budget.tryTake(0, {cost, reserve});
+          assert.equal(isAllowed, cost + reserve <= before - spent);
           spent += isAllowed ? cost : 0;
         }
-        assert.ok(spent <= before + 1e-9);
+        assert.ok(spent <= Math.max(0, before - reserve));
       },
     ),
     {seed: 28, numRuns: 300},
--- a/src/retries/retry_budget.ts
+++ b/src/retries/retry_budget.ts
@@ -21,6 +21,12 @@
  */
 const MAX_TOKENS = 100;
 
+/** What a retry takes of the budget and leaves in it, in tokens. */
+export interface RetryCost {
+  readonly cost?: number;
+  readonly reserve?: number;
+}
+
 /**
  * Token bucket: each first attempt adds a share of a token, each retry takes
  * its cost. Over any time the cost of all retries is at most the bucket's
@@ -65,15 +71,18 @@
    * Takes a token, or a part of one, for one retry.
    *
    * @param nowMs - current instant in milliseconds
-   * @param cost - tokens that the retry costs, more than 0 and at most 1
+   * @param options - `cost`: tokens that the retry costs, more than 0 and at
+   *     most 1, by default 1; `reserve`: tokens that must be left for others
+   *     afterwards, by default 0
    * @returns false if the budget is used up
    */
-  tryTake(nowMs: InstantMs, cost = 1): boolean {
+  tryTake(nowMs: InstantMs, options: RetryCost = {}): boolean {
+    const {cost = 1, reserve = 0} = options;
     if (this.share === 0) {
       return false;
     }
     this.refill(nowMs);
-    if (this.tokens < cost) {
+    if (this.tokens < cost + reserve) {
       return false;
     }
     this.tokens -= cost;
