--- a/src/cli/cli_test.ts
+++ b/src/cli/cli_test.ts
@@ -17,6 +17,8 @@
   type VmStatus,
 } from '../preset/index.js';
 import {sampleConfig} from '../preset/sample_documents.js';
+import {PROGRAM_VERSION} from '../settings/index.js';
+import type {TimelineEvent} from '../timeline/index.js';
 import {runCli} from './index.js';
 
 const folder = mkdtempSync(join(tmpdir(), 'sycamorepitch-cli-'));
@@ -57,6 +59,9 @@
 class VmBench {
   readonly config: DocumentStore<ConfigDocument> = createConfigStore();
   ready = true;
+  /** Undefined as for daemons that do not state their version. */
+  version: string | undefined = '1.2.3';
+  events: readonly TimelineEvent[] = [];
   members: readonly string[];
   private platformVersion = 0;
 
@@ -68,9 +73,10 @@
     this.config.offer(publishedDocument('config', platformVersion, body), 0);
   }
 
-  status(): VmStatus {
+  status(): Omit<VmStatus, 'version'> & {version: string | undefined} {
     const inForce = this.config.adopted?.document.inForce ?? null;
     return {
+      version: this.version,
       vmId: this.vmId,
       bootId: 'b1',
       failureDomain: 'a',
@@ -92,8 +98,11 @@
 
   /** Starts the port; returns the options that name it. */
   async listen(t: TestContext): Promise<readonly string[]> {
-    const server = createServer((_, response) => {
-      response.end(JSON.stringify(this.status()));
+    const server = createServer((request, response) => {
+      const {vmId, events} = this;
+      const answer =
+        request.url === '/timeline' ? {vmId, events} : this.status();
+      response.end(JSON.stringify(answer));
     });
     await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
     t.after(() => {
@@ -151,12 +160,28 @@
   }
 });
 
-test('help shows examples', async () => {
+test('each command has help with an example', async () => {
   // Guards against commands that only their author can use.
-  const help = await run(['preset', 'use', '--help']);
-  assert.equal(help.code, 0);
-  assert.match(help.out, /sycamorepitch preset use presets\.jsonc lunch/);
-  assert.match((await run(['--help'])).out, /preset watch/);
+  const commands = [
+    ...['validate', 'show', 'diff', 'use', 'watch'].map(name => [
+      'preset',
+      name,
+    ]),
+    ['status'],
+    ['timeline'],
+  ];
+  const overview = await run(['--help']);
+  for (const command of commands) {
+    const help = await run([...command, '--help']);
+    const name = command.join(' ');
+    assert.equal(help.code, 0, name);
+    const [usage, examples] = help.out.split('Examples');
+    assert.ok(usage?.includes(`$ sycamorepitch ${name}`), name);
+    assert.ok(examples?.includes(`$ sycamorepitch ${name} `), name);
+    assert.ok(overview.out.includes(`sycamorepitch ${name} `), name);
+  }
+  const version = await run(['--version']);
+  assert.equal(version.out, `${PROGRAM_VERSION}\n`);
 });
 
 test('show and diff describe presets in words', async () => {
@@ -264,8 +289,13 @@
   assert.equal(good.code, 0);
   assert.match(
     good.out,
-    /e-01 +a +ready +yes +lunch +1 +1 +[0-9a-f]{12} +1 s ago/,
+    /e-01 +1\.2\.3 +a +ready +yes +lunch +1 +1 +[0-9a-f]{12} +1 s ago/,
   );
+  second.ready = false;
+  assert.equal((await run(['status', ...options])).code, 1);
+  second.ready = true;
+  second.version = undefined;
+  assert.match((await run(['status', ...options])).out, /e-02 +unknown +a/);
   second.offer(sampleConfig(2));
   second.offer('{');
   second.members = ['e-02', 'e-03'];
@@ -275,3 +305,31 @@
   assert.match(bad.out, /VM e-02: refused config revision 0/);
   assert.match(bad.out, /not asked: e-03/);
 });
+
+test('timeline merges the events of VMs', async t => {
+  // Guards against an order that differs from what happened, and against a
+  // missing VM that goes unnoticed.
+  const [first, second] = [new VmBench('e-01'), new VmBench('e-02')];
+  const options = [...(await first.listen(t)), ...(await second.listen(t))];
+  const event = (vmId: string, wallMs: number): TimelineEvent => ({
+    time: {wallMs, counter: 0},
+    vmId,
+    part: 'config',
+    name: `adopted-${wallMs}`,
+    details: {revision: 2},
+  });
+  first.events = [event('e-01', 1), event('e-01', 3)];
+  second.events = [event('e-02', 2)];
+  const merged = await run(['timeline', ...options]);
+  assert.equal(merged.code, 0);
+  assert.match(merged.out, /adopted-1.*\n.*e-02.*adopted-2.*\n.*adopted-3/);
+  const trace = ['timeline', '--format', 'trace', ...options, ...DEAD_VM];
+  const partial = await run(trace);
+  assert.equal(partial.code, 1);
+  assert.match(partial.err, /events are missing: 127\.0\.0\.1:1/);
+  assert.ok('traceEvents' in (JSON.parse(partial.out) as object));
+  second.events = [event('e-02', 1e300)];
+  const broken = await run(['timeline', ...options]);
+  assert.match(broken.err, /unexpected answer: events\.0\.time\.wallMs/);
+  assert.equal((await run(['timeline', ...DEAD_VM])).code, 3);
+});
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -19,7 +19,7 @@
   VmTimeline,
 } from '../preset/index.js';
 import type {ClaimBook, HomeVm} from '../recovery/index.js';
-import type {DaemonSettings} from '../settings/index.js';
+import {PROGRAM_VERSION, type DaemonSettings} from '../settings/index.js';
 import type {TargetClient} from '../target_http/index.js';
 import type {ClaimRouter} from './claim_router.js';
 import type {ComponentLog} from './component_log.js';
@@ -29,6 +29,7 @@
 import type {EventLog} from './event_log.js';
 import type {PauseGuard} from './pause_guard.js';
 import type {PeerTransport} from './peer_transport.js';
+import {ListenError, listenOn} from './start_error.js';
 
 /** Interval of the engine's ticks. */
 const TICK_MS = 10;
@@ -45,6 +46,18 @@
 /** Rounds in which the departure is announced before the process ends. */
 const FAREWELL_ROUNDS = 4;
 
+/** Time without a new connection after which the caller port is closed. */
+const QUIET_MS = 100;
+
+/** Longest wait for callers to stop connecting. */
+const MAX_QUIET_WAIT_MS = 2_000;
+
+/**
+ * Time in which requests that were on their way when the caller port closed
+ * are still read and answered.
+ */
+const LINGER_MS = 250;
+
 /** Interval at which a planned shutdown looks for open requests. */
 const SHUTDOWN_POLL_MS = 20;
 
@@ -74,6 +87,12 @@
   readonly log: ComponentLog;
 }
 
+/** Ports that a daemon listens on. */
+export interface DaemonPorts {
+  readonly caller: number;
+  readonly operator: number;
+}
+
 type Lifecycle = 'starting' | 'ready' | 'leaving';
 
 /** Runs the parts and decides on the lifecycle of the VM. */
@@ -99,9 +118,10 @@
   /**
    * Opens the ports and starts the periodic work.
    *
-   * @throws the error of `listen`, for example when a port is in use
+   * @returns the ports, of use when the settings ask for any free one
+   * @throws ListenError, for example when a port is in use
    */
-  async start(): Promise<void> {
+  async start(): Promise<DaemonPorts> {
     const {settings, callers, documents, reader, membership} = this.parts;
     documents.attach(this, reader);
     membership.addContacts(settings.seeds);
@@ -113,17 +133,22 @@
     });
     const bound = await this.parts.peerServer.start();
     if (bound.isErr()) {
-      throw new Error(bound.error.message);
+      throw new ListenError('peer', settings.peer, bound.error.message);
     }
-    const operatorPort = await this.operator.listen(settings.operator);
-    const callerPort = await callers.listen(settings.caller);
+    const operatorPort = await listenOn('operator', settings.operator, () =>
+      this.operator.listen(settings.operator),
+    );
+    const callerPort = await listenOn('caller', settings.caller, () =>
+      callers.listen(settings.caller),
+    );
     this.every(TICK_MS, () => this.tick());
     this.every(GOSSIP_MS, () => this.gossip());
     this.every(HOUSEKEEPING_MS, () => this.keepHouse());
     this.refreshView();
     this.parts.log.info(
-      `VM ${settings.vmId} listens, callers on port ${callerPort}, operators on port ${operatorPort}`,
+      `VM ${settings.vmId} (version ${PROGRAM_VERSION}) listens, callers on port ${callerPort}, operators on port ${operatorPort}, peers on port ${bound.value}`,
     );
+    return {caller: callerPort, operator: operatorPort};
   }
 
   /**
@@ -167,6 +192,7 @@
     const nowMs = clock.nowMs();
     const inForce = configStore.adopted?.document.inForce ?? null;
     return {
+      version: PROGRAM_VERSION,
       vmId: membership.self.vmId,
       bootId: membership.self.bootId,
       failureDomain: settings.failureDomain,
@@ -330,7 +356,9 @@
     this.state = 'leaving';
     callers.beginDrain();
     await sleep(settings.leaveDelayMs);
-    const stopped = callers.stop();
+    await this.waitForQuiet();
+    callers.stopListening();
+    await sleep(LINGER_MS);
     await this.waitUntil(() => callers.openCount === 0);
     await this.waitUntil(() => engine.inFlightCount() === 0);
     await this.waitUntil(() => this.parts.claims.openSettlementCount === 0);
@@ -343,11 +371,23 @@
     await this.parts.peerServer.stop();
     await this.parts.transport.close();
     callers.destroy();
-    await stopped;
     log.info('all requests are finished, ending');
     this.markEnded();
   }
 
+  /**
+   * Waits until no caller connects any more. Closing the port resets
+   * connections that the operating system has taken but this process has not.
+   */
+  private async waitForQuiet(): Promise<void> {
+    const {callers, clock} = this.parts;
+    const latestMs = clock.nowMs() + MAX_QUIET_WAIT_MS;
+    await this.waitUntil(() => {
+      const nowMs = clock.nowMs();
+      return nowMs - callers.connectedMs > QUIET_MS || nowMs > latestMs;
+    });
+  }
+
   private async waitUntil(condition: () => boolean): Promise<void> {
     while (!condition()) {
       await sleep(SHUTDOWN_POLL_MS);
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -5,7 +5,7 @@
  */
 import type {InstantMs, RandomSource} from '../core/index.js';
 import {ContactList, type PeerAddress} from './contact_list.js';
-import {ENDED_SEQUENCE, FactStore} from './fact_store.js';
+import {FactStore} from './fact_store.js';
 import {MemberTable, ownerIdOf} from './member_table.js';
 import {
   Membership,
@@ -123,6 +123,13 @@
     return this.replacedById;
   }
 
+  /**
+   * Publishes or replaces a fact.
+   *
+   * @param key - fact key
+   * @param value - JSON text; empty to delete
+   * @throws FactLimitError if too many facts of this VM are kept
+   */
   override publish(key: string, value: string): void {
     this.store.publish(key, value, this.nowMs);
   }
@@ -154,20 +161,26 @@
     return this.store.digest();
   }
 
+  override missingFrom(digest: Digest): Digest {
+    return this.store.missingFrom(digest);
+  }
+
   /**
    * Collects facts that a peer lacks. Adopts the incarnations that the peer
    * marks as ended, if they are known here or if this VM has just started.
    *
-   * @param digest - the peer's digest
+   * @param digest - the peer's digest, or its reply of `missingFrom`
+   * @param options - `listedOnly`: true for a reply of `missingFrom`
    * @returns facts by owner, oldest first, bounded
    */
-  override deltaFor(digest: Digest): readonly OwnerDelta[] {
-    for (const [ownerId, sequence] of digest) {
-      if (sequence === ENDED_SEQUENCE) {
-        this.adoptEnded(ownerId);
-      }
-    }
-    return this.store.deltaFor(digest);
+  override deltaFor(
+    digest: Digest,
+    options: {readonly listedOnly: boolean} = {listedOnly: false},
+  ): readonly OwnerDelta[] {
+    const isJoining = this.nowMs - this.startMs < REPLACE_WINDOW_MS;
+    const ended = this.store.adoptEnded(digest, isJoining, this.nowMs);
+    ended.forEach(ownerId => this.table.replace(ownerId, this.nowMs));
+    return this.store.deltaFor(digest, options.listedOnly);
   }
 
   override merge(
@@ -179,7 +192,7 @@
     for (const delta of deltas) {
       const facts = this.store.merge(delta, nowMs);
       fresh.push(...facts);
-      this.interpret(delta.ownerId, facts, nowMs);
+      this.interpret(facts, nowMs);
     }
     if (this.table.hasChanges()) {
       this.readyCache = undefined;
@@ -248,11 +261,9 @@
     return live.map(member => ownerIdOf(member.incarnation));
   }
 
-  private interpret(
-    ownerId: string,
-    facts: readonly Fact[],
-    nowMs: InstantMs,
-  ): void {
+  /** Applies new facts of one owner to the table of members. */
+  private interpret(facts: readonly Fact[], nowMs: InstantMs): void {
+    const ownerId = facts[0]?.ownerId ?? '';
     const incarnation = this.incarnationOf(ownerId);
     if (incarnation === undefined) {
       return;
@@ -305,15 +316,6 @@
     this.store.remove(ownerId, true, nowMs);
   }
 
-  private adoptEnded(ownerId: string): void {
-    const isJoining = this.nowMs - this.startMs < REPLACE_WINDOW_MS;
-    const isKnown = this.table.stateOf(ownerId) !== undefined;
-    const isSelf = ownerId === this.selfId;
-    if (!isSelf && (isKnown || (isJoining && !this.store.isEnded(ownerId)))) {
-      this.endIncarnation(ownerId, this.nowMs);
-    }
-  }
-
   private announcedBy(ownerId: string): AnnouncedState {
     const state = parseJson(this.store.valueOf(ownerId, STATE_KEY));
     return state === 'ready' || state === 'leaving' ? state : 'starting';
--- a/src/membership/gossip_membership_test.ts
+++ b/src/membership/gossip_membership_test.ts
@@ -6,6 +6,7 @@
   GossipMembership,
   ownerIdOf,
   ROUND_MS,
+  shortIdOf,
   type Digest,
   type OwnerDelta,
 } from './index.js';
@@ -144,10 +145,11 @@
     }
     if (message.type === 'ask') {
       const delta = membership.deltaFor(message.digest);
-      const digest = membership.digest();
+      const digest = membership.missingFrom(message.digest);
       this.send(to, from, {type: 'answer', delta, digest});
     } else if (message.type === 'answer') {
-      const delta = membership.deltaFor(message.digest);
+      const {digest} = message;
+      const delta = membership.deltaFor(digest, {listedOnly: true});
       this.send(to, from.slot, {type: 'push', delta});
     }
   }
@@ -376,7 +378,7 @@
     startMs: 0,
   });
   const ownerId = ownerIdOf(a.self);
-  const late = a.deltaFor(new Map([...b.digest(), [ownerId, 2]]));
+  const late = a.deltaFor(new Map([...b.digest(), [shortIdOf(ownerId), 2]]));
   assert.deepEqual(fresh.merge(late, 1), []);
-  assert.equal(fresh.digest().has(ownerId), false);
+  assert.equal(fresh.digest().has(shortIdOf(ownerId)), false);
 });
--- a/src/peer_grpc/wire.ts
+++ b/src/peer_grpc/wire.ts
@@ -15,7 +15,7 @@
 
 /** @internal */
 export interface WireDigest {
-  readonly ownerIds: readonly string[];
+  readonly ownerShortIds: readonly number[];
   readonly sequences: readonly number[];
 }
 
@@ -27,6 +27,7 @@
   readonly keys: readonly string[];
   readonly values: readonly string[];
   readonly sequenceSteps: readonly number[];
+  readonly ownerShortId?: number;
 }
 
 /** @internal */
