--- a/bench/membership_cost.ts
+++ b/bench/membership_cost.ts
@@ -22,11 +22,13 @@
   encodeDigest,
 } from '../src/peer_grpc/codec.js';
 import {
+  FRAME_BYTES,
   methodOf,
   type CallName,
   type RequestOf,
   type ResponseOf,
 } from '../src/peer_grpc/wire.js';
+import {slopeOf} from './slope.js';
 
 const DEFAULT_SIZES = [6, 12, 24, 32, 64, 128, 256];
 const TARGET_COUNT = 26;
@@ -43,9 +45,6 @@
 /** Facts with the results of probes; `REPORTS=off` leaves them out. */
 const WITH_REPORTS = process.env['REPORTS'] !== 'off';
 
-/** Prefix of a gRPC message, in bytes. */
-const FRAME_BYTES = 5;
-
 const TIME = {wallMs: 1_764_800_000_000, counter: 3};
 
 /** Figures of one fleet size. */
@@ -223,24 +222,6 @@
   });
 }
 
-/** Least-squares slope of y over the number of VMs. */
-function slopeOf(
-  figures: readonly Figures[],
-  valueOf: (figure: Figures) => number,
-): number {
-  const meanX = mean(figures.map(figure => figure.vmCount));
-  const meanY = mean(figures.map(valueOf));
-  const covariance = figures.map(
-    figure => (figure.vmCount - meanX) * (valueOf(figure) - meanY),
-  );
-  const variance = figures.map(figure => (figure.vmCount - meanX) ** 2);
-  return mean(covariance) / mean(variance);
-}
-
-function mean(values: readonly number[]): number {
-  return values.reduce((sum, value) => sum + value, 0) / values.length;
-}
-
 function main(): void {
   const seed = Number(process.argv[2] ?? 41);
   console.log(
@@ -267,8 +248,12 @@
     );
     return figure;
   });
-  const bytes = slopeOf(figures, figure => figure.bytesPerSecond);
-  const micros = slopeOf(figures, figure => figure.microsPerSecond);
+  const bytes = slopeOf(
+    figures.map(figure => ({x: figure.vmCount, y: figure.bytesPerSecond})),
+  );
+  const micros = slopeOf(
+    figures.map(figure => ({x: figure.vmCount, y: figure.microsPerSecond})),
+  );
   console.log(
     `slope per VM: ${bytes.toFixed(0)} bytes/s, ${micros.toFixed(1)} us/s`,
   );
--- a/src/daemon/composition_root.ts
+++ b/src/daemon/composition_root.ts
@@ -257,7 +257,11 @@
     ({get}) =>
       new GrpcTransport({
         clock: get(Clock),
-        client: new PeerClient({clock: get(Clock), stamp: get(MessageStamp)}),
+        client: new PeerClient({
+          clock: get(Clock),
+          stamp: get(MessageStamp),
+          traffic: get(DaemonMetrics),
+        }),
         membership: get(GossipMembership),
         onFacts,
       }),
@@ -281,6 +285,7 @@
       clock: get(Clock),
       stamp: get(MessageStamp),
       onFault: error => log.error('call of a peer failed', error),
+      traffic: get(DaemonMetrics),
     });
   });
 }
--- a/src/daemon/daemon_metrics.ts
+++ b/src/daemon/daemon_metrics.ts
@@ -5,6 +5,7 @@
  */
 import {Counter, Gauge, Registry, collectDefaultMetrics} from 'prom-client';
 import type {Outcome} from '../engine/index.js';
+import type {PeerTraffic} from '../peer_grpc/index.js';
 
 /** Live values that are read when the figures are asked for. */
 export interface MetricSources {
@@ -15,7 +16,7 @@
 }
 
 /** Counters and gauges of one daemon. */
-export class DaemonMetrics {
+export class DaemonMetrics implements PeerTraffic {
   readonly registry = new Registry();
   private readonly requests = this.counter('requests_total', 'Requests', [
     'service',
@@ -38,6 +39,11 @@
     'Events of the time line',
     ['part', 'name'],
   );
+  private readonly peerBytes = this.counter(
+    'peer_message_bytes_total',
+    'Bytes of gRPC messages between VMs, without HTTP/2 and TCP',
+    ['direction', 'call'],
+  );
   private readonly knownServices = new Set<string>();
 
   constructor() {
@@ -90,6 +96,11 @@
     this.probes.inc({service});
   }
 
+  /** Counts a message to or from a peer. */
+  onMessage(direction: string, call: string, sizeBytes: number): void {
+    this.peerBytes.inc({direction, call}, sizeBytes);
+  }
+
   /** Counts an event. */
   onEvent(part: string, name: string): void {
     this.engineEvents.inc({part, name});
--- a/src/peer_grpc/peer_client.ts
+++ b/src/peer_grpc/peer_client.ts
@@ -40,8 +40,11 @@
   type HandOver,
   type MessageStamp,
   type PeerError,
+  type PeerTraffic,
 } from './types.js';
 import {
+  countDecoded,
+  countEncoded,
   methodOf,
   type CallName,
   type RequestOf,
@@ -80,6 +83,8 @@
   readonly bulkTimeoutMs?: number;
   /** Channels open at a time, 256 by default; the least used is closed. */
   readonly maxChannels?: number;
+  /** Receives the sizes of messages. */
+  readonly traffic?: PeerTraffic;
 }
 
 /**
@@ -101,6 +106,7 @@
   private readonly claimTimeoutMs: number;
   private readonly bulkTimeoutMs: number;
   private readonly maxChannels: number;
+  private readonly traffic: PeerTraffic | undefined;
   /** Ordered by last use. */
   private readonly channels = new Map<string, Client>();
 
@@ -112,6 +118,7 @@
     this.claimTimeoutMs = options.claimTimeoutMs ?? 500;
     this.bulkTimeoutMs = options.bulkTimeoutMs ?? 5_000;
     this.maxChannels = options.maxChannels ?? 256;
+    this.traffic = options.traffic;
   }
 
   /**
@@ -259,7 +266,7 @@
     const address = formatAddress(peer.host, peer.port);
     const channel = this.channelTo(address);
     try {
-      const reply = await send(channel, name, request, timeoutMs);
+      const reply = await this.send(channel, name, request, timeoutMs);
       const sentAt = decodeTime(reply.time);
       const result = decode(reply);
       this.stamp.observe(sentAt);
@@ -274,6 +281,33 @@
     }
   }
 
+  private send<N extends CallName>(
+    channel: Client,
+    name: N,
+    request: RequestOf<N>,
+    timeoutMs: number,
+  ): Promise<ResponseOf<N>> {
+    const {path, requestSerialize, responseDeserialize} = methodOf(name);
+    // gRPC takes the deadline as wall-clock time of this process.
+    const deadline = new Date(Date.now() + Math.max(timeoutMs, 0));
+    return new Promise((resolve, reject) => {
+      channel.makeUnaryRequest(
+        path,
+        countEncoded(name, requestSerialize, this.traffic),
+        countDecoded(name, responseDeserialize, this.traffic),
+        request,
+        {deadline},
+        (error, reply) => {
+          if (error !== null || reply === undefined) {
+            reject(error ?? new Error('the reply is empty'));
+          } else {
+            resolve(reply);
+          }
+        },
+      );
+    });
+  }
+
   private channelTo(address: string): Client {
     const channel =
       this.channels.get(address) ??
@@ -293,33 +327,6 @@
   }
 }
 
-function send<N extends CallName>(
-  channel: Client,
-  name: N,
-  request: RequestOf<N>,
-  timeoutMs: number,
-): Promise<ResponseOf<N>> {
-  const {path, requestSerialize, responseDeserialize} = methodOf(name);
-  // gRPC takes the deadline as wall-clock time of this process.
-  const deadline = new Date(Date.now() + Math.max(timeoutMs, 0));
-  return new Promise((resolve, reject) => {
-    channel.makeUnaryRequest(
-      path,
-      requestSerialize,
-      responseDeserialize,
-      request,
-      {deadline},
-      (error, reply) => {
-        if (error !== null || reply === undefined) {
-          reject(error ?? new Error('the reply is empty'));
-        } else {
-          resolve(reply);
-        }
-      },
-    );
-  });
-}
-
 function failureOf(error: unknown, address: string): PeerError {
   const message = `call to ${address}: ${(error as Error).message}`;
   if (error instanceof BadMessageError) {
--- a/src/peer_grpc/peer_grpc_test.ts
+++ b/src/peer_grpc/peer_grpc_test.ts
@@ -18,12 +18,14 @@
   Settlement,
 } from '../recovery/index.js';
 import type {HybridTime} from '../timeline/index.js';
-import {methodOf} from './wire.js';
+import {FRAME_BYTES, methodOf} from './wire.js';
 import {
   MessageStamp,
   PeerClient,
   PeerHandler,
   PeerServer,
+  type PeerClientOptions,
+  type PeerTraffic,
   type ExchangeAnswer,
   type HandOver,
 } from './index.js';
@@ -103,7 +105,10 @@
   }
 });
 
-async function startServer(port = 0): Promise<{
+async function startServer(
+  port = 0,
+  traffic: PeerTraffic = {onMessage: () => undefined},
+): Promise<{
   readonly peer: PeerAddress;
   readonly server: PeerServer;
   readonly handler: RecordingHandler;
@@ -117,6 +122,7 @@
     handler,
     clock: new ManualClock({startMs: SERVER_START_MS}),
     stamp,
+    traffic,
     onFault: error => assert.fail(String(error)),
   });
   const bound = (await server.start())._unsafeUnwrap();
@@ -124,9 +130,7 @@
   return {peer: {host: HOST, port: bound}, server, handler, stamp};
 }
 
-function startClient(
-  overrides: {readonly maxChannels?: number} = {},
-): PeerClient {
+function startClient(overrides: Partial<PeerClientOptions> = {}): PeerClient {
   const client = new PeerClient({
     clock: new ManualClock({startMs: 100}),
     stamp: new CountingStamp(),
@@ -137,6 +141,26 @@
   return client;
 }
 
+test('both sides count each message once, with the same size', async () => {
+  // Guards against a cost of gossip that the metrics do not show.
+  const sizes = (): Map<string, number> => new Map();
+  const [atServer, atClient] = [sizes(), sizes()];
+  const countIn = (counts: Map<string, number>): PeerTraffic => ({
+    onMessage: (direction, call, sizeBytes) => {
+      assert.equal(counts.has(`${direction} ${call}`), false);
+      counts.set(`${direction} ${call}`, sizeBytes);
+    },
+  });
+  const {peer} = await startServer(0, countIn(atServer));
+  const client = startClient({traffic: countIn(atClient)});
+  (await client.exchange(peer, new Map([[7, 1]])))._unsafeUnwrap();
+  const request = atClient.get('sent Exchange') ?? 0;
+  const reply = atClient.get('received Exchange') ?? 0;
+  assert.ok(request > FRAME_BYTES && reply > FRAME_BYTES);
+  assert.equal(atServer.get('received Exchange'), request);
+  assert.equal(atServer.get('sent Exchange'), reply);
+});
+
 test('all calls carry their values, and instants as time spans', async () => {
   // Guards against fields lost on the way and clocks that are compared.
   const {peer, handler, stamp} = await startServer();
--- a/src/peer_grpc/peer_server.ts
+++ b/src/peer_grpc/peer_server.ts
@@ -32,6 +32,7 @@
   type MessageStamp,
   type PeerError,
   type PeerHandler,
+  type PeerTraffic,
 } from './types.js';
 import {
   lenientService,
@@ -56,6 +57,8 @@
   readonly stamp: MessageStamp;
   /** Receives faults of the handler; they are answered INTERNAL. */
   readonly onFault: (error: unknown) => void;
+  /** Receives the sizes of messages. */
+  readonly traffic?: PeerTraffic;
 }
 
 type Body<N extends CallName> = Omit<ResponseOf<N>, 'time'>;
@@ -79,7 +82,10 @@
       'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
       'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
     });
-    this.server.addService(lenientService(), this.implementation());
+    this.server.addService(
+      lenientService(options.traffic),
+      this.implementation(),
+    );
   }
 
   /**
--- a/src/peer_grpc/types.ts
+++ b/src/peer_grpc/types.ts
@@ -25,6 +25,23 @@
   readonly digest: Digest;
 }
 
+/** Counts the messages between VMs, for metrics. */
+export interface PeerTraffic {
+  /**
+   * Called once for each message.
+   *
+   * @param direction - seen from this VM
+   * @param call - name of the call, such as `Exchange`
+   * @param sizeBytes - encoded message with gRPC's prefix of 5 bytes, without
+   *     HTTP/2 and TCP
+   */
+  onMessage(
+    direction: 'sent' | 'received',
+    call: string,
+    sizeBytes: number,
+  ): void;
+}
+
 /** Records of a VM that stops. */
 export interface HandOver {
   readonly records: readonly ClaimRecord[];
--- a/src/peer_grpc/wire.ts
+++ b/src/peer_grpc/wire.ts
@@ -6,6 +6,7 @@
 import type {MethodDefinition, ServiceDefinition} from '@grpc/grpc-js';
 import {loadSync} from '@grpc/proto-loader';
 import {fileURLToPath} from 'node:url';
+import type {PeerTraffic} from './types.js';
 
 /** @internal */
 export interface WireTime {
@@ -156,6 +157,9 @@
   'FetchDocument',
 ];
 
+/** Prefix of each gRPC message, in bytes. @internal */
+export const FRAME_BYTES = 5;
+
 /** Marks a request whose bytes are not a valid message. @internal */
 export class MalformedRequest {
   /** @param reason - what the decoder reported */
@@ -186,23 +190,55 @@
   >;
 }
 
+/** Wraps an encoder so that it reports the size of each message. @internal */
+export function countEncoded<T>(
+  name: CallName,
+  encode: (message: T) => Buffer,
+  traffic: PeerTraffic | undefined,
+): (message: T) => Buffer {
+  return message => {
+    const bytes = encode(message);
+    traffic?.onMessage('sent', name, bytes.length + FRAME_BYTES);
+    return bytes;
+  };
+}
+
+/** Wraps a decoder so that it reports the size of each message. @internal */
+export function countDecoded<T>(
+  name: CallName,
+  decode: (bytes: Buffer) => T,
+  traffic: PeerTraffic | undefined,
+): (bytes: Buffer) => T {
+  return bytes => {
+    traffic?.onMessage('received', name, bytes.length + FRAME_BYTES);
+    return decode(bytes);
+  };
+}
+
 /**
  * Service definition whose decoder returns {@link MalformedRequest} instead of
  * throwing, so that the server answers INVALID_ARGUMENT.
  *
+ * @param traffic - receives the sizes of messages
+ * @returns the definition
  * @internal
  */
-export function lenientService(): ServiceDefinition {
+export function lenientService(
+  traffic: PeerTraffic | undefined,
+): ServiceDefinition {
   const entries = CALL_NAMES.map(name => {
     const method = methodOf(name) as MethodDefinition<unknown, unknown>;
-    const requestDeserialize = (bytes: Buffer): unknown => {
+    const decode = (bytes: Buffer): unknown => {
       try {
         return method.requestDeserialize(bytes);
       } catch (error) {
         return new MalformedRequest(String(error));
       }
     };
-    return [name, {...method, requestDeserialize}];
+    const requestDeserialize = countDecoded(name, decode, traffic);
+    const encode = method.responseSerialize;
+    const responseSerialize = countEncoded(name, encode, traffic);
+    return [name, {...method, requestDeserialize, responseSerialize}];
   });
   return Object.fromEntries(entries) as ServiceDefinition;
 }
