Give examples for the functions of cli and preset

Cause: public functions lacked the @example that the conventions ask for. Change: doc comments only.

--- a/src/cli/input_file.ts
+++ b/src/cli/input_file.ts
@@ -29,6 +29,11 @@
  * @param file - path; `-` for the standard input
  * @param stdin - standard input
  * @returns the text, or a typed error; never throws
+ *
+ * @example
+ * ```ts
+ * const text = await readInput('presets.jsonc', process.stdin);
+ * ```
  */
 export async function readInput(
   file: string,
@@ -50,6 +55,11 @@
  * @param file - path; `-` for the standard input
  * @param stdin - standard input
  * @returns the document with its text, or a typed error
+ *
+ * @example
+ * ```ts
+ * const config = await readConfigFile('presets.jsonc', process.stdin);
+ * ```
  */
 export async function readConfigFile(
   file: string,
@@ -69,6 +79,11 @@
  * @param file - path; `-` for the standard input
  * @param stdin - standard input
  * @returns the list, or a typed error
+ *
+ * @example
+ * ```ts
+ * const list = await readVmListFile('vms.jsonc', process.stdin);
+ * ```
  */
 export async function readVmListFile(
   file: string,
--- a/src/cli/preset_show.ts
+++ b/src/cli/preset_show.ts
@@ -51,6 +51,11 @@
  * @param name - name that was asked for
  * @param document - document that lacks it
  * @returns the error
+ *
+ * @example
+ * ```ts
+ * return err(unknownPreset('luch', document));
+ * ```
  */
 export function unknownPreset(
   name: string,
--- a/src/cli/tool_error.ts
+++ b/src/cli/tool_error.ts
@@ -46,6 +46,11 @@
  *
  * @param error - error of a command
  * @returns exit code from 1 to 3
+ *
+ * @example
+ * ```ts
+ * exitCodeOf({type: 'no-vm-reachable', failures: []}); // 3
+ * ```
  */
 export function exitCodeOf(error: ToolError): number {
   switch (error.type) {
@@ -65,6 +70,11 @@
  *
  * @param error - error of a command
  * @returns text with a final newline
+ *
+ * @example
+ * ```ts
+ * process.stderr.write(formatToolError(error));
+ * ```
  */
 export function formatToolError(error: ToolError): string {
   return toLines(error)
@@ -92,6 +102,11 @@
  *
  * @param failure - failure of one VM
  * @returns text such as `10.0.0.1:9090: ECONNREFUSED`
+ *
+ * @example
+ * ```ts
+ * formatFailure({address: '10.0.0.1:9090', reason: 'ECONNREFUSED'});
+ * ```
  */
 export function formatFailure(failure: VmFailure): string {
   return `${failure.address}: ${failure.reason}`;
@@ -102,6 +117,11 @@
  *
  * @param error - anything thrown
  * @returns text without final newline
+ *
+ * @example
+ * ```ts
+ * messageOf(new Error('no such file')); // 'no such file'
+ * ```
  */
 export function messageOf(error: unknown): string {
   return error instanceof Error ? error.message : String(error);
--- a/src/cli/vm_addresses.ts
+++ b/src/cli/vm_addresses.ts
@@ -26,6 +26,15 @@
  * @param options - `vms`: values of `--vm`; `file`: list file in JSON with
  *     comments; `stdin`: standard input
  * @returns addresses without duplicates, at least one, or a typed error
+ *
+ * @example
+ * ```ts
+ * const addresses = await collectAddresses({
+ *   vms: ['10.0.0.1:9090'],
+ *   file: undefined,
+ *   stdin: process.stdin,
+ * });
+ * ```
  */
 export async function collectAddresses(options: {
   readonly vms: readonly string[];
--- a/src/cli/vm_client.ts
+++ b/src/cli/vm_client.ts
@@ -112,6 +112,11 @@
  *
  * @param addresses - operator ports as `host:port`
  * @returns answers and failures; never throws
+ *
+ * @example
+ * ```ts
+ * const {answers} = await fetchTimelines(['10.0.0.1:9090']);
+ * ```
  */
 export function fetchTimelines(
   addresses: readonly string[],
--- a/src/cli/vm_command.ts
+++ b/src/cli/vm_command.ts
@@ -40,6 +40,11 @@
  *
  * @param result - answers of the VMs
  * @returns ids in order
+ *
+ * @example
+ * ```ts
+ * const unasked = unaskedVmIds(await fetchStatuses(addresses));
+ * ```
  */
 export function unaskedVmIds(result: VmAnswers<VmStatus>): readonly string[] {
   const asked = new Set(result.answers.map(answer => answer.value.vmId));
--- a/src/cli/watch_progress.ts
+++ b/src/cli/watch_progress.ts
@@ -47,6 +47,11 @@
  * @param watched - the published document
  * @param status - status of the VM
  * @returns the state at this VM
+ *
+ * @example
+ * ```ts
+ * const {state} = judgeVm(watched, status); // 'in-force'
+ * ```
  */
 export function judgeVm(
   watched: WatchedDocument,
--- a/src/preset/diff.ts
+++ b/src/preset/diff.ts
@@ -91,6 +91,11 @@
  * @param change - difference to format
  * @returns text such as `* preset lunch: vm ceiling changes from 24 to 30`; the
  *     asterisk marks changes that act on requests at once
+ *
+ * @example
+ * ```ts
+ * const lines = diffConfigs(before, after).map(formatChange);
+ * ```
  */
 export function formatChange(change: DocumentChange): string {
   const mark = change.inForce ? '* ' : '  ';
--- a/src/preset/jsonc_text.ts
+++ b/src/preset/jsonc_text.ts
@@ -121,6 +121,11 @@
  *
  * @param path - keys and array indexes
  * @returns text such as `vms[3].host`
+ *
+ * @example
+ * ```ts
+ * formatPath(['vms', 3, 'host']); // 'vms[3].host'
+ * ```
  */
 export function formatPath(path: ValuePath): string {
   let text = '';
@@ -143,6 +148,11 @@
  * @param text - text in JSON with comments
  * @param key - key of the outermost object
  * @returns the number; undefined if there is none
+ *
+ * @example
+ * ```ts
+ * findTopLevelNumber('{"revision": 7, ', 'revision'); // 7
+ * ```
  */
 export function findTopLevelNumber(
   text: string,
--- a/src/preset/parse_config.ts
+++ b/src/preset/parse_config.ts
@@ -122,6 +122,11 @@
  *
  * @param prefix - path prefix of a kind
  * @returns the normal form; empty for `/`
+ *
+ * @example
+ * ```ts
+ * normalizePrefix('/book/'); // '/book'
+ * ```
  */
 export function normalizePrefix(prefix: string): string {
   // A loop, because a regular expression takes quadratic time on long runs of
--- a/src/preset/schema_parts.ts
+++ b/src/preset/schema_parts.ts
@@ -33,6 +33,11 @@
  *
  * @param shape - schema of each key
  * @returns the schema
+ *
+ * @example
+ * ```ts
+ * closedObject({host: ipAddress(), port: wholeNumber(1, 65_535)});
+ * ```
  */
 export function closedObject<T extends z.ZodRawShape>(
   shape: T,
@@ -53,6 +58,11 @@
  * @param max - greatest value, included
  * @param unit - unit for the message, such as `ms`; empty by default
  * @returns the schema
+ *
+ * @example
+ * ```ts
+ * wholeNumber(1, 600_000, 'ms');
+ * ```
  */
 export function wholeNumber(min: number, max: number, unit = ''): z.ZodInt {
   const suffix = unit === '' ? '' : ` (${unit})`;
@@ -66,6 +76,11 @@
  * @param min - least value, included
  * @param max - greatest value, included
  * @returns the schema
+ *
+ * @example
+ * ```ts
+ * numberIn(0, 1);
+ * ```
  */
 export function numberIn(min: number, max: number): z.ZodNumber {
   const error = `a number from ${min} to ${max}`;
@@ -78,6 +93,11 @@
  * @param pattern - pattern for the whole text
  * @param error - what is expected
  * @returns the schema
+ *
+ * @example
+ * ```ts
+ * textLike(/^\/.*$/, 'a path that starts with a slash');
+ * ```
  */
 export function textLike(pattern: RegExp, error: string): z.ZodString {
   return z.string({error}).regex(pattern, {error});
@@ -87,6 +107,11 @@
  * True or false.
  *
  * @returns the schema
+ *
+ * @example
+ * ```ts
+ * closedObject({urgent: flag().default(false)});
+ * ```
  */
 export function flag(): z.ZodBoolean {
   return z.boolean({error: 'true or false'});
@@ -97,6 +122,11 @@
  *
  * @param words - allowed words
  * @returns the schema
+ *
+ * @example
+ * ```ts
+ * oneOf(['entry', 'target']);
+ * ```
  */
 export function oneOf<const T extends readonly string[]>(
   words: T,
@@ -108,6 +138,11 @@
  * IP address; names are not resolved anywhere in the system.
  *
  * @returns the schema
+ *
+ * @example
+ * ```ts
+ * ipAddress().safeParse('10.0.0.1').success; // true
+ * ```
  */
 export function ipAddress(): z.ZodUnion<[z.ZodIPv4, z.ZodIPv6]> {
   return z.union([z.ipv4(), z.ipv6()], {error: 'an IP address'});
@@ -117,6 +152,11 @@
  * Name of a preset, service or kind: lower case, as in a host name.
  *
  * @returns the schema
+ *
+ * @example
+ * ```ts
+ * labelName().safeParse('growers-desk').success; // true
+ * ```
  */
 export function labelName(): z.ZodString {
   return textLike(
@@ -130,6 +170,11 @@
  * facts are written `vmId/bootId`.
  *
  * @returns the schema
+ *
+ * @example
+ * ```ts
+ * identifier().safeParse('e-01').success; // true
+ * ```
  */
 export function identifier(): z.ZodString {
   return textLike(
--- a/src/preset/version.ts
+++ b/src/preset/version.ts
@@ -45,6 +45,11 @@
  * @param body - text of a document
  * @returns SHA-256 of the UTF-8 bytes, 64 hexadecimal digits; the same as
  *     `sha256sum` prints for the file
+ *
+ * @example
+ * ```ts
+ * const sha256 = hashBody(body);
+ * ```
  */
 export function hashBody(body: string): string {
   return createHash('sha256').update(body, 'utf8').digest('hex');
--- a/src/standins/caller_report.ts
+++ b/src/standins/caller_report.ts
@@ -107,6 +107,11 @@
  *
  * @param report - results of a run
  * @returns text that ends with a line break
+ *
+ * @example
+ * ```ts
+ * process.stdout.write(formatReport(report));
+ * ```
  */
 export function formatReport(report: CallerReport): string {
   const rows = [...report.kinds].map(([name, kind]) => [
@@ -147,7 +152,17 @@
   return `${lines.join('\n')}\n`;
 }
 
-/** JSON form of the results. */
+/**
+ * Formats the results as JSON.
+ *
+ * @param report - results of a run
+ * @returns JSON text
+ *
+ * @example
+ * ```ts
+ * await writeFile('result.json', reportToJson(report));
+ * ```
+ */
 export function reportToJson(report: CallerReport): string {
   const {seed, durationMs, kinds, ledger} = report;
   const {onceRuns = {}, ...checks} = ledger ?? {};
