Split the planned shutdown and the bindings from the daemon

Change: daemon_parts.ts and planned_shutdown.ts; three binding functions by topic; the daemon uses ROUND_MS of membership. No change of behaviour.

--- a/src/daemon/composition_root.ts
+++ b/src/daemon/composition_root.ts
@@ -60,6 +60,12 @@
  * @param options - settings and log
  * @returns the daemon
  * @throws an error of the parts, for example of the peer port
+ *
+ * @example
+ * ```ts
+ * const daemon = await composeDaemon({settings, logger});
+ * await daemon.start();
+ * ```
  */
 export async function composeDaemon(options: ComposeOptions): Promise<Daemon> {
   const {settings} = options;
@@ -67,7 +73,9 @@
   const seed = settings.randomSeed ?? randomInt(SEED_BOUND);
   bindBase(container, settings, seed);
   bindDecisions(container, settings);
-  bindAdapters(container, options);
+  bindRequestPath(container, options);
+  bindDocuments(container, options);
+  bindDaemon(container, options);
   bindPeerProtocol(container, options);
   return container.getAsync(Daemon);
 }
@@ -128,9 +136,9 @@
   );
 }
 
-function bindAdapters(container: Container, options: ComposeOptions): void {
+/** Binds what takes requests of callers to targets. */
+function bindRequestPath(container: Container, options: ComposeOptions): void {
   const {settings, logger} = options;
-  const logOf = (name: string): ComponentLog => new ComponentLog(logger, name);
   container
     .bind(TargetClient)
     .toDynamicValue(({get}) => new TargetClient({clock: get(Clock)}));
@@ -141,36 +149,9 @@
         membership: get(GossipMembership),
         home: get(HomeVm),
         transport: get(PeerTransport),
-        log: logOf('claims'),
+        log: new ComponentLog(logger, 'claims'),
       }),
   );
-  container.bind(DocumentExchange).toDynamicValue(
-    ({get}) =>
-      new DocumentExchange({
-        clock: get(Clock),
-        membership: get(GossipMembership),
-        transport: get(PeerTransport),
-        config: get(CONFIG_STORE),
-        vms: get(VM_LIST_STORE),
-        events: get(EventLog),
-        log: logOf('documents'),
-      }),
-  );
-  const platformLog = logOf('platform');
-  container.bind(PlatformReader).toDynamicValue(({get}) => {
-    const documents = get(DocumentExchange);
-    return new PlatformReader({
-      baseUrls: settings.platformUrls,
-      vmId: settings.vmId,
-      clock: get(Clock),
-      random: get(RandomSource),
-      listener: {
-        onDocument: published => documents.offer(published),
-        onError: (name, error) =>
-          platformLog.warn(`${name} not read, ${error.type}: ${error.reason}`),
-      },
-    });
-  });
   container.bind(EffectRunner).toDynamicValue(({get}) => {
     const membership = get(GossipMembership);
     return new EffectRunner({
@@ -180,7 +161,7 @@
       claims: get(ClaimRouter),
       events: get(EventLog),
       metrics: get(DaemonMetrics),
-      log: logOf('engine'),
+      log: new ComponentLog(logger, 'engine'),
       publish: (key, value) => membership.publish(key, value),
     });
   });
@@ -205,6 +186,43 @@
     runner.attach(server);
     return server;
   });
+}
+
+/** Binds what reads and passes on the documents of the platform. */
+function bindDocuments(container: Container, options: ComposeOptions): void {
+  const {settings, logger} = options;
+  container.bind(DocumentExchange).toDynamicValue(
+    ({get}) =>
+      new DocumentExchange({
+        clock: get(Clock),
+        membership: get(GossipMembership),
+        transport: get(PeerTransport),
+        config: get(CONFIG_STORE),
+        vms: get(VM_LIST_STORE),
+        events: get(EventLog),
+        log: new ComponentLog(logger, 'documents'),
+      }),
+  );
+  const platformLog = new ComponentLog(logger, 'platform');
+  container.bind(PlatformReader).toDynamicValue(({get}) => {
+    const documents = get(DocumentExchange);
+    return new PlatformReader({
+      baseUrls: settings.platformUrls,
+      vmId: settings.vmId,
+      clock: get(Clock),
+      random: get(RandomSource),
+      listener: {
+        onDocument: published => documents.offer(published),
+        onError: (name, error) =>
+          platformLog.warn(`${name} not read, ${error.type}: ${error.reason}`),
+      },
+    });
+  });
+}
+
+/** Binds the daemon itself. */
+function bindDaemon(container: Container, options: ComposeOptions): void {
+  const {settings, logger} = options;
   container.bind(Daemon).toDynamicValue(
     ({get}) =>
       new Daemon({
@@ -229,7 +247,7 @@
         createOperator: view => new OperatorServer(view),
         metrics: get(DaemonMetrics),
         events: get(EventLog),
-        log: logOf('daemon'),
+        log: new ComponentLog(logger, 'daemon'),
       }),
   );
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,32 +3,18 @@
  *
  * @packageDocumentation
  */
-import {setTimeout as sleep} from 'node:timers/promises';
-import type {CallerServer} from '../caller_http/index.js';
-import type {Clock, RandomSource} from '../core/index.js';
-import type {RequestEngine} from '../engine/index.js';
-import type {GossipMembership} from '../membership/index.js';
+import {ROUND_MS, type MembershipChange} from '../membership/index.js';
 import type {OperatorServer, OperatorView} from '../operator_http/index.js';
-import type {PeerServer} from '../peer_grpc/index.js';
-import type {PlatformReader} from '../platform_http/index.js';
 import type {
   ConfigDocument,
-  DocumentStore,
   VmListDocument,
   VmStatus,
   VmTimeline,
 } from '../preset/index.js';
-import type {ClaimBook, HomeVm} from '../recovery/index.js';
-import {PROGRAM_VERSION, type DaemonSettings} from '../settings/index.js';
-import type {TargetClient} from '../target_http/index.js';
-import type {ClaimRouter} from './claim_router.js';
-import type {ComponentLog} from './component_log.js';
-import type {DaemonMetrics} from './daemon_metrics.js';
-import type {DocumentExchange, DocumentListener} from './document_exchange.js';
-import type {EffectRunner} from './effect_runner.js';
-import type {EventLog} from './event_log.js';
-import type {PauseGuard} from './pause_guard.js';
-import type {PeerTransport} from './peer_transport.js';
+import {PROGRAM_VERSION} from '../settings/index.js';
+import type {DaemonParts} from './daemon_parts.js';
+import type {DocumentListener} from './document_exchange.js';
+import {PlannedShutdown} from './planned_shutdown.js';
 import {ListenError, listenOn} from './start_error.js';
 
 /** Interval of the engine's ticks. */
@@ -37,56 +23,9 @@
 /** Ticks between two checks for silent connections. */
 const CONNECTION_CHECK_TICKS = 5;
 
-/** Interval of gossip rounds. */
-const GOSSIP_MS = 250;
-
 /** Interval at which expired claim records are dropped. */
 const HOUSEKEEPING_MS = 1_000;
 
-/** Rounds in which the departure is announced before the process ends. */
-const FAREWELL_ROUNDS = 4;
-
-/** Time without a new connection after which the caller port is closed. */
-const QUIET_MS = 100;
-
-/** Longest wait for callers to stop connecting. */
-const MAX_QUIET_WAIT_MS = 2_000;
-
-/**
- * Time in which requests that were on their way when the caller port closed
- * are still read and answered.
- */
-const LINGER_MS = 250;
-
-/** Interval at which a planned shutdown looks for open requests. */
-const SHUTDOWN_POLL_MS = 20;
-
-/** The parts of a daemon. */
-export interface DaemonParts {
-  readonly settings: DaemonSettings;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly engine: RequestEngine;
-  readonly membership: GossipMembership;
-  readonly home: HomeVm;
-  readonly pauses: PauseGuard;
-  readonly book: ClaimBook;
-  readonly transport: PeerTransport;
-  readonly peerServer: PeerServer;
-  readonly configStore: DocumentStore<ConfigDocument>;
-  readonly vmListStore: DocumentStore<VmListDocument>;
-  readonly documents: DocumentExchange;
-  readonly reader: PlatformReader;
-  readonly claims: ClaimRouter;
-  readonly runner: EffectRunner;
-  readonly targets: TargetClient;
-  readonly callers: CallerServer;
-  readonly createOperator: (view: OperatorView) => OperatorServer;
-  readonly metrics: DaemonMetrics;
-  readonly events: EventLog;
-  readonly log: ComponentLog;
-}
-
 /** Ports that a daemon listens on. */
 export interface DaemonPorts {
   readonly caller: number;
@@ -142,7 +81,7 @@
       callers.listen(settings.caller),
     );
     this.every(TICK_MS, () => this.tick());
-    this.every(GOSSIP_MS, () => this.gossip());
+    this.every(ROUND_MS, () => this.gossip());
     this.every(HOUSEKEEPING_MS, () => this.keepHouse());
     this.refreshView();
     this.parts.log.info(
@@ -254,21 +193,12 @@
   }
 
   private gossip(): void {
-    const {membership, clock, random, transport} = this.parts;
+    const {membership, clock} = this.parts;
     this.parts.pauses.check();
     const nowMs = clock.nowMs();
     const changes = membership.tick(nowMs);
     this.parts.home.onMembershipChanges(changes, nowMs);
-    for (const change of changes) {
-      const {vmId, bootId, from, to, planned} = change;
-      this.parts.events.record('membership', `vm-${to}`, {
-        vmId,
-        bootId,
-        from: from ?? 'unknown',
-        planned,
-      });
-      this.parts.log.info(`VM ${vmId} is ${to}`);
-    }
+    changes.forEach(change => this.reportChange(change));
     this.refreshView();
     for (const {vmId, to} of changes) {
       if (to === 'ready' && vmId !== membership.self.vmId) {
@@ -280,16 +210,35 @@
       void this.shutDown();
     }
     this.parts.documents.pull();
+    this.exchangeFacts();
+  }
+
+  /** Tells operators that a member has changed its state. */
+  private reportChange(change: MembershipChange): void {
+    const {vmId, bootId, from, to, planned} = change;
+    this.parts.events.record('membership', `vm-${to}`, {
+      vmId,
+      bootId,
+      from: from ?? 'unknown',
+      planned,
+    });
+    this.parts.log.info(`VM ${vmId} is ${to}`);
+  }
+
+  /** Exchanges facts with one peer, unless the last exchange still runs. */
+  private exchangeFacts(): void {
+    const {membership, random, transport, log} = this.parts;
     const peer = membership.nextPeer(random);
-    if (peer !== undefined && !this.exchanging) {
-      this.exchanging = true;
-      void transport
-        .exchange(peer)
-        .catch((error: unknown) => this.parts.log.error('gossip failed', error))
-        .finally(() => {
-          this.exchanging = false;
-        });
+    if (peer === undefined || this.exchanging) {
+      return;
     }
+    this.exchanging = true;
+    void transport
+      .exchange(peer)
+      .catch((error: unknown) => log.error('gossip failed', error))
+      .finally(() => {
+        this.exchanging = false;
+      });
   }
 
   /** Sends a VM the records that this one kept as its substitute. */
@@ -350,20 +299,13 @@
   }
 
   private async runShutdown(): Promise<void> {
-    const {settings, callers, home, log, events, engine} = this.parts;
+    const {settings, callers, log, events} = this.parts;
     log.info(`leaving, callers have ${settings.leaveDelayMs} ms to notice`);
     events.record('process', 'leaving', {});
     this.state = 'leaving';
-    callers.beginDrain();
-    await sleep(settings.leaveDelayMs);
-    await this.waitForQuiet();
-    callers.stopListening();
-    await sleep(LINGER_MS);
-    await this.waitUntil(() => callers.openCount === 0);
-    await this.waitUntil(() => engine.inFlightCount() === 0);
-    await this.waitUntil(() => this.parts.claims.openSettlementCount === 0);
-    home.stopTaking();
-    await this.handOver();
+    const shutdown = new PlannedShutdown(this.parts);
+    await shutdown.finishRequests();
+    await shutdown.handOver();
     this.timers.forEach(clearInterval);
     this.parts.targets.close();
     this.operator.close();
@@ -374,47 +316,4 @@
     log.info('all requests are finished, ending');
     this.markEnded();
   }
-
-  /**
-   * Waits until no caller connects any more. Closing the port resets
-   * connections that the operating system has taken but this process has not.
-   */
-  private async waitForQuiet(): Promise<void> {
-    const {callers, clock} = this.parts;
-    const latestMs = clock.nowMs() + MAX_QUIET_WAIT_MS;
-    await this.waitUntil(() => {
-      const nowMs = clock.nowMs();
-      return nowMs - callers.connectedMs > QUIET_MS || nowMs > latestMs;
-    });
-  }
-
-  private async waitUntil(condition: () => boolean): Promise<void> {
-    while (!condition()) {
-      await sleep(SHUTDOWN_POLL_MS);
-    }
-  }
-
-  /** Hands records over and, if that worked, announces the departure. */
-  private async handOver(): Promise<void> {
-    const {home, clock, transport, claims, membership, log} = this.parts;
-    const {lastEvictionMs} = this.parts.book.summary();
-    const plan = home.planHandOver(clock.nowMs());
-    let complete = plan.isComplete;
-    for (const [vmId, records] of plan.batches) {
-      const address = claims.addressOf(vmId);
-      const acknowledged =
-        address !== undefined &&
-        (await transport.handOver(address, records, lastEvictionMs));
-      complete &&= acknowledged;
-    }
-    if (!complete) {
-      // Peers must see an unplanned departure: their records lack some.
-      log.warn('records not handed over, ending without announcement');
-      return;
-    }
-    membership.setOwnState('leaving');
-    for (let round = 0; round < FAREWELL_ROUNDS; round++) {
-      await sleep(GOSSIP_MS);
-    }
-  }
 }
