--- a/src/standins/caller_main.ts
+++ b/src/standins/caller_main.ts
@@ -4,14 +4,14 @@
  *
  * @packageDocumentation
  */
-import {readFile, writeFile} from 'node:fs/promises';
+import {writeFile} from 'node:fs/promises';
 import {SeededRandom} from '../core/index.js';
 import {formatReport, reportToJson} from './caller_report.js';
 import {OpenLoopCaller} from './caller_run.js';
 import {callerSettingsSchema} from './caller_settings.js';
+import {readSettings} from './read_settings.js';
 
-const text = await readFile(process.argv[2] ?? 'caller.json', 'utf8');
-const settings = callerSettingsSchema.parse(JSON.parse(text));
+const settings = await readSettings(callerSettingsSchema, 'caller.json');
 const random = new SeededRandom({seed: settings.seed});
 const report = await new OpenLoopCaller(settings, random).run();
 const summary = formatReport(report);
--- a/src/standins/caller_run.ts
+++ b/src/standins/caller_run.ts
@@ -10,11 +10,11 @@
   KindReport,
   type CallerReport,
   type FinalResult,
-  type LedgerCheck,
 } from './caller_report.js';
 import {CallerTrace} from './caller_trace.js';
-import {EntryReadiness} from './entry_readiness.js';
 import type {CallerKind, CallerSettings} from './caller_settings.js';
+import {EntryReadiness} from './entry_readiness.js';
+import {checkLedgers} from './ledger_check.js';
 
 /** Time that a caller waits beyond its stated timeout. */
 const ANSWER_GRACE_MS = 2_000;
@@ -86,7 +86,11 @@
     }
     await Promise.all(open);
     this.readiness.stop();
-    const ledger = await this.checkLedgers();
+    const ledger = await checkLedgers({
+      controlPorts: this.settings.controlPorts,
+      onceIds: this.onceIds,
+      refusedIds: this.refusedIds,
+    });
     await this.agent.close();
     return {seed, durationMs, kinds: this.reports, ledger};
   }
@@ -196,15 +200,7 @@
         {
           method: kind.method as 'GET',
           dispatcher: this.agent,
-          headers: {
-            'x-service': kind.service,
-            'x-request-id': id,
-            'x-sending-id': record.sending,
-            'x-attempt': String(attempt),
-            'x-timeout-ms': String(kind.timeoutMs),
-            ...(kind.idempotent ? {} : {'idempotency-key': id}),
-            ...kind.headers,
-          },
+          headers: headersOf(kind, record, attempt),
           body: kind.bodyBytes > 0 ? requestBody(id, kind.bodyBytes) : null,
           signal: AbortSignal.timeout(kind.timeoutMs + ANSWER_GRACE_MS),
         },
@@ -222,56 +218,6 @@
       return finish(result, 0, 'none', code ?? String(error));
     }
   }
-
-  private async checkLedgers(): Promise<LedgerCheck | undefined> {
-    const doubleRuns: string[] = [];
-    const falseNotRun: string[] = [];
-    const totals = new Map<string, number>();
-    let probes = 0;
-    let read = 0;
-    for (const port of this.settings.controlPorts) {
-      const ledger = await readLedger(port);
-      if (ledger === undefined) {
-        continue;
-      }
-      read += 1;
-      for (const [id, count] of Object.entries(ledger.runs)) {
-        totals.set(id, (totals.get(id) ?? 0) + count);
-      }
-      for (const count of Object.values(ledger.probesByTarget)) {
-        probes += count;
-      }
-    }
-    const onceRuns: Record<string, number> = {};
-    for (const [id, count] of totals) {
-      if (this.onceIds.has(id)) {
-        onceRuns[id] = count;
-      }
-      if (count > 1 && this.onceIds.has(id)) {
-        doubleRuns.push(id);
-      }
-      if (this.refusedIds.has(id)) {
-        falseNotRun.push(id);
-      }
-    }
-    return read === 0 ? undefined : {doubleRuns, falseNotRun, onceRuns, probes};
-  }
-}
-
-/** What the control port of a target process states. */
-interface Ledger {
-  readonly runs: Record<string, number>;
-  readonly probesByTarget: Record<string, number>;
-}
-
-/** Reads a ledger; undefined if its process has gone. */
-async function readLedger(port: number): Promise<Ledger | undefined> {
-  try {
-    const response = await sendRequest(`http://127.0.0.1:${port}/ledger`);
-    return (await response.body.json()) as Ledger;
-  } catch {
-    return undefined;
-  }
 }
 
 /** Rate of the load curve at an instant, linear between its points. */
@@ -289,6 +235,23 @@
   );
 }
 
+/** Header of one sending. */
+function headersOf(
+  kind: CallerKind,
+  sent: {readonly id: string; readonly sending: string},
+  attempt: number,
+): Record<string, string> {
+  return {
+    'x-service': kind.service,
+    'x-request-id': sent.id,
+    'x-sending-id': sent.sending,
+    'x-attempt': String(attempt),
+    'x-timeout-ms': String(kind.timeoutMs),
+    ...(kind.idempotent ? {} : {'idempotency-key': sent.id}),
+    ...kind.headers,
+  };
+}
+
 function requestBody(id: string, sizeBytes: number): string {
   return JSON.stringify({id, pad: 'y'.repeat(sizeBytes)});
 }
--- a/src/standins/platform_server.ts
+++ b/src/standins/platform_server.ts
@@ -25,6 +25,7 @@
 import type {Clock, InstantMs} from '../core/index.js';
 import type {DocumentName} from '../preset/index.js';
 import {PlatformDocuments, type Publication} from './platform_documents.js';
+import {answerJson, readBody} from './standin_http.js';
 
 /** The platform's limit over all readers (design page, section 1). */
 const DEFAULT_READS_PER_SECOND = 2_000;
@@ -357,15 +358,6 @@
   }
 }
 
-/** Reads a body to its end. */
-async function readBody(request: IncomingMessage): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request) {
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks);
-}
-
 /** Answers with a publication, or 404 if there is none. */
 function answerDocument(
   response: ServerResponse,
@@ -379,13 +371,3 @@
   response.setHeader('content-type', 'application/json');
   response.end(publication.body);
 }
-
-/** Answers with JSON. */
-function answerJson(
-  response: ServerResponse,
-  status: number,
-  value: unknown,
-): void {
-  response.writeHead(status, {'content-type': 'application/json'});
-  response.end(JSON.stringify(value) + '\n');
-}
--- a/src/standins/relay_main.ts
+++ b/src/standins/relay_main.ts
@@ -10,10 +10,15 @@
  *
  * @packageDocumentation
  */
-import {readFile} from 'node:fs/promises';
-import {createServer as createHttpServer} from 'node:http';
+import {
+  createServer as createHttpServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
 import {connect, createServer, type Socket} from 'node:net';
 import {z} from 'zod';
+import {readSettings} from './read_settings.js';
+import {readBody} from './standin_http.js';
 
 const HOST = '127.0.0.1';
 
@@ -119,8 +124,7 @@
   }
 }
 
-const text = await readFile(process.argv[2] ?? 'relay.json', 'utf8');
-const settings = settingsSchema.parse(JSON.parse(text));
+const settings = await readSettings(settingsSchema, 'relay.json');
 const links = settings.links.map(spec => new Link(spec));
 await Promise.all(links.map(link => link.listen()));
 
@@ -135,16 +139,21 @@
   return affected.length;
 }
 
+/** Answers a call of the control port. */
+async function handle(
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const body = await readBody(request);
+  try {
+    response.end(`${JSON.stringify({links: run(body.toString())})}\n`);
+  } catch (error) {
+    response.writeHead(400).end(`${String(error)}\n`);
+  }
+}
+
 createHttpServer((request, response) => {
-  let body = '';
-  request.on('data', chunk => (body += String(chunk)));
-  request.on('end', () => {
-    try {
-      response.end(`${JSON.stringify({links: run(body)})}\n`);
-    } catch (error) {
-      response.writeHead(400).end(`${String(error)}\n`);
-    }
-  });
+  handle(request, response).catch(() => request.destroy());
 }).listen(settings.controlPort, HOST);
 process.stdout.write(`relay: ${links.length} links\n`);
 process.on('SIGTERM', () => process.exit(0));
--- a/src/standins/target_control.ts
+++ b/src/standins/target_control.ts
@@ -3,8 +3,14 @@
  *
  * @packageDocumentation
  */
-import {createServer, type Server} from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import {z} from 'zod';
+import {readBody} from './standin_http.js';
 import type {TargetLedger} from './target_ledger.js';
 import type {TargetStandin} from './target_standin.js';
 
@@ -38,23 +44,31 @@
  * @param targets - targets of the process
  * @param ledger - ledger of the process
  * @returns a server that does not listen yet
+ *
+ * @example
+ * ```ts
+ * createControlServer(targets, ledger).listen(9_000, '127.0.0.1');
+ * ```
  */
 export function createControlServer(
   targets: readonly TargetStandin[],
   ledger: TargetLedger,
 ): Server {
+  const handle = async (
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> => {
+    const body = await readBody(request);
+    if (request.method === 'GET') {
+      response.end(JSON.stringify(ledger));
+      return;
+    }
+    const [status, answer] = runCommand(targets, ledger, body.toString());
+    response.statusCode = status;
+    response.end(answer);
+  };
   return createServer((request, response) => {
-    let body = '';
-    request.on('data', chunk => (body += String(chunk)));
-    request.on('end', () => {
-      if (request.method === 'GET') {
-        response.end(JSON.stringify(ledger));
-        return;
-      }
-      const [status, answer] = runCommand(targets, ledger, body);
-      response.statusCode = status;
-      response.end(answer);
-    });
+    handle(request, response).catch(() => request.destroy());
   });
 }
 
--- a/src/standins/target_main.ts
+++ b/src/standins/target_main.ts
@@ -3,15 +3,14 @@
  *
  * @packageDocumentation
  */
-import {readFile} from 'node:fs/promises';
 import {SeededRandom} from '../core/index.js';
+import {readSettings} from './read_settings.js';
 import {createControlServer} from './target_control.js';
 import {TargetLedger} from './target_ledger.js';
 import {targetSettingsSchema} from './target_settings.js';
 import {TargetStandin} from './target_standin.js';
 
-const text = await readFile(process.argv[2] ?? 'targets.json', 'utf8');
-const settings = targetSettingsSchema.parse(JSON.parse(text));
+const settings = await readSettings(targetSettingsSchema, 'targets.json');
 const ledger = new TargetLedger(settings.ledgerPath);
 const targets = settings.targets.map((spec, index) => {
   const random = new SeededRandom({seed: settings.seed + index});
