--- a/src/daemon/daemon_metrics.ts
+++ b/src/daemon/daemon_metrics.ts
@@ -5,6 +5,7 @@
  */
 import {Counter, Gauge, Registry, collectDefaultMetrics} from 'prom-client';
 import type {Outcome} from '../engine/index.js';
+import type {PeerTraffic} from '../peer_grpc/index.js';
 
 /** Live values that are read when the figures are asked for. */
 export interface MetricSources {
@@ -15,7 +16,7 @@
 }
 
 /** Counters and gauges of one daemon. */
-export class DaemonMetrics {
+export class DaemonMetrics implements PeerTraffic {
   readonly registry = new Registry();
   private readonly requests = this.tally(
     'requests_total',
@@ -42,6 +43,11 @@
     'Events of the time line, by part and name',
     ['part', 'name'],
   );
+  private readonly peerBytes = this.tally(
+    'peer_message_bytes_total',
+    'Bytes of gRPC messages between VMs, without HTTP/2 and TCP',
+    ['direction', 'call'],
+  );
   private readonly knownServices = new Set<string>();
 
   constructor() {
@@ -106,6 +112,11 @@
     this.probes.add(service);
   }
 
+  /** Counts a message to or from a peer. */
+  onMessage(direction: string, call: string, sizeBytes: number): void {
+    this.peerBytes.add(direction, call, sizeBytes);
+  }
+
   /** Counts an event. */
   onEvent(part: string, name: string): void {
     this.engineEvents.add(part, name);
@@ -153,14 +164,14 @@
 class LabelledTally {
   private readonly counts = new Map<string, Map<string | undefined, number>>();
 
-  /** Adds 1 to the count of the label values. */
-  add(first: string, second?: string): void {
+  /** Adds to the count of the label values. */
+  add(first: string, second?: string, amount = 1): void {
     let row = this.counts.get(first);
     if (row === undefined) {
       row = new Map();
       this.counts.set(first, row);
     }
-    row.set(second, (row.get(second) ?? 0) + 1);
+    row.set(second, (row.get(second) ?? 0) + amount);
   }
 
   /** Lists label values and counts. */
