Describe the request path with its measurements

Cause: the doc comment on the choice of undici cited one favourable run only, and no page held the ways weighed and the bench's tables.

--- a/src/target_http/index.ts
+++ b/src/target_http/index.ts
@@ -6,13 +6,16 @@
  * whose connection is destroyed if the target's breaks; a typed refusal would
  * keep callers from ever getting such an answer.
  *
- * Each connection is one undici `Client` on a socket opened here. undici calls
- * back right before it writes and looks for a pending close before it reuses a
- * connection; node:http tells neither. `bench/request_path.sh 7 500 4 2` on a
- * busy machine (load average 6 to 8) gave medians of 726 us for a node:http
- * server with the node:http client, 558 us with undici, 806 us for restify with
- * undici and 845 us for the daemon; direct calls took 190 us. Tails lay within
- * the noise of that machine.
+ * Each connection is one undici `Client` on a socket opened here. Two properties
+ * decided for undici: it calls back right before it writes, and it looks for a
+ * pending close before it reuses a connection; node:http does neither. Speed did
+ * not decide. Earlier medians favoured undici over the node:http client at 300
+ * requests/s (625 against 799 us) and at 500/s with seed 7, but node:http in
+ * other runs at 500/s (580 against 771 us) and 800/s (412 against 466 us).
+ * `bench/request_path.sh 7 1 8` at a load average of 11 to 13 gave medians of 671
+ * (undici) against 654 us at 500/s and 543 against 547 us at 1,500/s, with 245
+ * against 243 and 135 against 142 us of processor time per request, which is no
+ * difference beyond the noise of that machine. See `docs/request_path.md`.
  *
  * @packageDocumentation
  */
