--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -54,13 +54,7 @@
     serializers: {err: bunyan.stdSerializers.err},
   });
   const log = new ComponentLog(logger, 'process');
-  // A fault in the handling of one request must not end all others.
-  process.on('uncaughtException', error =>
-    log.error('unhandled exception', error),
-  );
-  process.on('unhandledRejection', reason =>
-    log.error('unhandled rejection', reason),
-  );
+  surviveFaults(log);
   try {
     const daemon = await composeDaemon({settings, logger});
     const end = (): void => {
@@ -84,6 +78,16 @@
   }
 }
 
+/** Logs faults: one in the handling of one request must not end all others. */
+function surviveFaults(log: ComponentLog): void {
+  process.on('uncaughtException', error =>
+    log.error('unhandled exception', error),
+  );
+  process.on('unhandledRejection', reason =>
+    log.error('unhandled rejection', reason),
+  );
+}
+
 const [file] = process.argv.slice(2);
 if (file === '--help' || file === '-h') {
   process.stdout.write(USAGE);
--- a/src/standins/fleet_files.ts
+++ b/src/standins/fleet_files.ts
@@ -5,6 +5,7 @@
  */
 import {join} from 'node:path';
 import type {DaemonSettings} from '../settings/index.js';
+import {FLEET_KINDS} from './fleet_kinds.js';
 
 const HOST = '127.0.0.1';
 
@@ -56,70 +57,6 @@
   readonly processIndex: number;
 }
 
-/** Kinds of the Himali deployment with service times of the stand-ins. */
-const KINDS = [
-  {
-    service: 'growers-desk',
-    name: 'price-check',
-    method: 'GET',
-    path: '/price',
-    idempotent: true,
-    long: false,
-    worth: 1,
-    share: 50,
-    meanMs: 8,
-    timeoutMs: 1_000,
-  },
-  {
-    service: 'growers-desk',
-    name: 'booking',
-    method: 'POST',
-    path: '/book',
-    idempotent: false,
-    long: false,
-    worth: 10,
-    share: 20,
-    meanMs: 15,
-    timeoutMs: 2_000,
-  },
-  {
-    service: 'growers-desk',
-    name: 'batch-check',
-    method: 'GET',
-    path: '/batch',
-    idempotent: true,
-    long: true,
-    worth: 2,
-    share: 1,
-    meanMs: 300,
-    timeoutMs: 5_000,
-  },
-  {
-    service: 'packhouse-desk',
-    name: 'stock-check',
-    method: 'GET',
-    path: '/stock',
-    idempotent: true,
-    long: false,
-    worth: 1,
-    share: 20,
-    meanMs: 8,
-    timeoutMs: 1_000,
-  },
-  {
-    service: 'packhouse-desk',
-    name: 'dispatch-confirmation',
-    method: 'POST',
-    path: '/dispatch',
-    idempotent: false,
-    long: false,
-    worth: 10,
-    share: 9,
-    meanMs: 15,
-    timeoutMs: 2_000,
-  },
-] as const;
-
 /**
  * Creates all files of a fleet.
  *
@@ -193,7 +130,7 @@
   };
   const kindsOf = (name: string): unknown =>
     Object.fromEntries(
-      KINDS.filter(kind => kind.service === name).map(kind => [
+      FLEET_KINDS.filter(kind => kind.service === name).map(kind => [
         kind.name,
         {
           method: kind.method,
@@ -251,7 +188,7 @@
   return {
     seed: shape.seed + 1_000 * index,
     controlPort: shape.basePort + 1 + index,
-    kinds: KINDS.map(({method, path, meanMs}) => ({
+    kinds: FLEET_KINDS.map(({method, path, meanMs}) => ({
       method,
       pathPrefix: path,
       meanMs,
@@ -333,7 +270,7 @@
       {atMs: durationMs * 0.7, requestsPerSecond: peakRate},
       {atMs: durationMs, requestsPerSecond: baseRate},
     ],
-    kinds: KINDS.map(kind => ({
+    kinds: FLEET_KINDS.map(kind => ({
       name: kind.name,
       service: kind.service,
       method: kind.method,
--- a/src/standins/target_control.ts
+++ b/src/standins/target_control.ts
@@ -12,7 +12,11 @@
 import {z} from 'zod';
 import {readBody} from './standin_http.js';
 import type {TargetLedger} from './target_ledger.js';
-import type {TargetStandin} from './target_standin.js';
+import {
+  NO_FAULTS,
+  type DrainSign,
+  type TargetStandin,
+} from './target_standin.js';
 
 const command = z.object({
   /** Target id; absent for all targets of the process. */
@@ -37,6 +41,14 @@
   value: z.number().optional(),
 });
 
+/** Signs that each kind of drain shows. */
+const DRAIN_SIGNS = {
+  drain: ['header', 'refusal', 'load'],
+  'drain-by-header': ['header'],
+  'drain-by-refusal': ['refusal'],
+  'drain-by-load': ['load'],
+} as const satisfies Record<string, readonly DrainSign[]>;
+
 /**
  * Creates the control server: `GET /ledger`, and `POST /control` with
  * `{"target", "action", "value"}`.
@@ -101,16 +113,10 @@
     case 'mark':
       break;
     case 'drain':
-      faults.drainSigns = ['header', 'refusal', 'load'];
-      break;
     case 'drain-by-header':
-      faults.drainSigns = ['header'];
-      break;
     case 'drain-by-refusal':
-      faults.drainSigns = ['refusal'];
-      break;
     case 'drain-by-load':
-      faults.drainSigns = ['load'];
+      faults.drainSigns = DRAIN_SIGNS[action];
       break;
     case 'fail-fast':
       faults.failFast = true;
@@ -134,12 +140,7 @@
       standin.crash();
       break;
     case 'heal':
-      faults.failFast = false;
-      faults.refuseAll = false;
-      faults.truncate = false;
-      faults.drainSigns = [];
-      faults.slowFactor = 1;
-      faults.statedLoad = undefined;
+      Object.assign(faults, NO_FAULTS);
       break;
   }
 }
--- a/src/standins/target_standin.ts
+++ b/src/standins/target_standin.ts
@@ -36,6 +36,16 @@
   slowFactor: number;
 }
 
+/** A target without faults. */
+export const NO_FAULTS: Readonly<TargetFaults> = {
+  failFast: false,
+  refuseAll: false,
+  truncate: false,
+  drainSigns: [],
+  statedLoad: undefined,
+  slowFactor: 1,
+};
+
 /** Options of {@link TargetStandin}. */
 export interface TargetStandinOptions {
   readonly spec: TargetSpec;
@@ -64,14 +74,7 @@
 
 /** A target that listens on its own port. */
 export class TargetStandin {
-  readonly faults: TargetFaults = {
-    failFast: false,
-    refuseAll: false,
-    truncate: false,
-    drainSigns: [],
-    statedLoad: undefined,
-    slowFactor: 1,
-  };
+  readonly faults: TargetFaults = {...NO_FAULTS};
   private server: Server | undefined;
   private readonly sockets = new Set<Socket>();
   private readonly silentSockets = new WeakSet<Socket>();
