--- a/src/routing/target_load.ts
+++ b/src/routing/target_load.ts
@@ -19,8 +19,12 @@
  */
 const PENALTY_HALF_LIFE_MS = 500;
 
-/** Load that others cause at a target. */
-interface OtherLoad {
+/**
+ * Load that others cause at a target.
+ *
+ * @internal
+ */
+export interface OtherLoad {
   readonly inFlight: number;
   /** Time since it was measured, in milliseconds. */
   readonly ageMs: number;
