Move the service times of the target stand-in to a file of their own

Change: service_times.ts with kinds, cold start and noisy neighbours; the random draws keep their order. No change of behaviour.

--- a/src/standins/target_standin.ts
+++ b/src/standins/target_standin.ts
@@ -11,8 +11,9 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import type {RandomSource} from '../core/index.js';
+import {ServiceTimes} from './service_times.js';
 import type {LedgerRequest, TargetLedger} from './target_ledger.js';
-import type {KindSpec, TargetSettings, TargetSpec} from './target_settings.js';
+import type {TargetSettings, TargetSpec} from './target_settings.js';
 
 /**
  * `header`: responses to requests carry it; `refusal`: new requests are refused
@@ -54,14 +55,6 @@
   readonly ledger: TargetLedger;
 }
 
-/** Service time of requests that match no kind. */
-const DEFAULT_KIND: KindSpec = {
-  method: '*',
-  pathPrefix: '/',
-  meanMs: 1,
-  distribution: 'fixed',
-};
-
 /** Work that waits for a slot or runs in one. */
 interface Job {
   readonly request: IncomingMessage;
@@ -80,13 +73,13 @@
   private readonly silentSockets = new WeakSet<Socket>();
   private readonly queue: Job[] = [];
   private readonly running = new Set<Job>();
-  private startedMs = 0;
-  private slowUntilMs = 0;
-  private nextSlowMs = 0;
+  private readonly serviceTimes: ServiceTimes;
   private laggedLoad = {value: 0, readMs: 0};
 
   /** @param options - settings, random source and ledger */
-  constructor(private readonly options: TargetStandinOptions) {}
+  constructor(private readonly options: TargetStandinOptions) {
+    this.serviceTimes = new ServiceTimes(options);
+  }
 
   /** Id of the target. */
   get id(): string {
@@ -107,8 +100,7 @@
     server.on('request', (request, response) => {
       this.onRequest(request, response);
     });
-    this.startedMs = performance.now();
-    this.nextSlowMs = this.startedMs + this.drawNeighbourGap();
+    this.serviceTimes.onStart(performance.now());
     this.server = server;
     const {host, port} = this.options.spec;
     await new Promise<void>((resolve, reject) => {
@@ -236,7 +228,10 @@
   private run(job: Job): void {
     this.running.add(job);
     this.options.ledger.recordRun(this.id, ledgerRequest(job.request));
-    const serviceMs = this.drawServiceMs(job.request);
+    const {method, url} = job.request;
+    const serviceMs =
+      this.serviceTimes.draw(method, url, performance.now()) *
+      this.faults.slowFactor;
     job.timer = setTimeout(() => {
       this.running.delete(job);
       this.complete(job);
@@ -289,45 +284,6 @@
     this.queue.length = 0;
   }
 
-  private drawServiceMs(request: IncomingMessage): number {
-    const {settings, random} = this.options;
-    const kind = settings.kinds
-      .filter(
-        entry =>
-          entry.method === request.method &&
-          (request.url ?? '').startsWith(entry.pathPrefix),
-      )
-      .sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)[0];
-    const {meanMs, distribution} = kind ?? DEFAULT_KIND;
-    const drawn =
-      distribution === 'fixed'
-        ? meanMs
-        : -Math.log(1 - random.nextFloat()) * meanMs;
-    return drawn * this.currentFactor();
-  }
-
-  private currentFactor(): number {
-    const {coldFactor, warmUpMs, neighbours} = this.options.settings;
-    const nowMs = performance.now();
-    const ageMs = nowMs - this.startedMs;
-    const cold =
-      ageMs < warmUpMs ? coldFactor - (coldFactor - 1) * (ageMs / warmUpMs) : 1;
-    if (neighbours !== undefined && nowMs >= this.nextSlowMs) {
-      this.slowUntilMs = nowMs + neighbours.durationMs;
-      this.nextSlowMs = this.slowUntilMs + this.drawNeighbourGap();
-    }
-    const noisy = nowMs < this.slowUntilMs ? (neighbours?.factor ?? 1) : 1;
-    return cold * noisy * this.faults.slowFactor;
-  }
-
-  private drawNeighbourGap(): number {
-    const {settings, random} = this.options;
-    const meanGapMs = settings.neighbours?.meanGapMs;
-    return meanGapMs === undefined
-      ? Infinity
-      : -Math.log(1 - random.nextFloat()) * meanGapMs;
-  }
-
   private statedLoad(): number {
     const nowMs = performance.now();
     const lagMs = this.options.settings.reportLagMs;
