Limit the silence of the first request of a kind

Change: until a kind was observed, the first attempt of an idempotent request may be silent for a quarter of its remaining time; a retry has no limit then, so that kinds which always take longer are answered.

--- a/src/engine/attempt_flow.ts
+++ b/src/engine/attempt_flow.ts
@@ -79,7 +79,10 @@
       // A non-idempotent request is not sent again, so breaking it off would
       // only turn a slow answer into an unknown one.
       silenceLimitMs: kind.idempotent
-        ? service.silenceLimitMs(kind)
+        ? service.silenceLimitMs(kind, {
+            remainingMs: request.deadlineMs - nowMs,
+            isRetry: request.verdicts.length > 0,
+          })
         : undefined,
       deadlineMs: request.deadlineMs,
     });
--- a/src/engine/service_state.ts
+++ b/src/engine/service_state.ts
@@ -19,6 +19,12 @@
 /** Silence on a connection, in multiples of the kind's p99, that is a fault. */
 const SILENCE_FACTOR = 3;
 
+/**
+ * Limit of silence as a share of the remaining time while the service time of
+ * the kind is unknown. Most of the time is left for another attempt.
+ */
+const UNOBSERVED_SILENCE_SHARE = 0.25;
+
 /** Shorter silence is never a fault; covers pauses of a healthy target. */
 const MIN_SILENCE_MS = 250;
 
@@ -139,12 +145,24 @@
     return this.estimators.get(kind.name)?.medianMs(nowMs) ?? 0;
   }
 
-  /** Limit of silence on a connection; undefined without any observation. */
-  silenceLimitMs(kind: KindPreset): number | undefined {
+  /**
+   * Limit of silence on a connection. For a kind that was not observed yet it
+   * is a share of the remaining time, and only once in a request: a kind that
+   * always takes longer would never be answered otherwise.
+   */
+  silenceLimitMs(
+    kind: KindPreset,
+    options: {readonly remainingMs: number; readonly isRetry: boolean},
+  ): number | undefined {
     const p99Ms = this.estimators.get(kind.name)?.p99Ms ?? 0;
-    return p99Ms === 0
-      ? undefined
-      : Math.max(MIN_SILENCE_MS, Math.round(p99Ms * SILENCE_FACTOR));
+    if (p99Ms > 0) {
+      return Math.max(MIN_SILENCE_MS, Math.round(p99Ms * SILENCE_FACTOR));
+    }
+    if (options.isRetry) {
+      return undefined;
+    }
+    const shareMs = Math.round(options.remainingMs * UNOBSERVED_SILENCE_SHARE);
+    return Math.max(MIN_SILENCE_MS, shareMs);
   }
 
   /** Estimator of a kind, created on first use. */
