Send urgent facts to all peers at once

Cause: an implication of a crash or a drain sign reached other VMs by rounds of gossip only, about five rounds of 250 ms; copies of a crashing request that came 20 to 100 ms apart took down more targets meanwhile. Change: after a fact `quarantine/` or `drain/` was published, the VM exchanges facts with all live peers, at most every 100 ms.

--- a/bench/simulated_vm.ts
+++ b/bench/simulated_vm.ts
@@ -8,6 +8,7 @@
 import {
   type AttemptSignal,
   type Effect,
+  isUrgentFact,
   type Outcome,
   RequestEngine,
 } from '../src/engine/index.js';
@@ -39,6 +40,9 @@
 /** Interval between gossip rounds of one VM. */
 export const ROUND_MS = 250;
 
+/** Least time between two exchanges with all peers, as in the daemon. */
+const BROADCAST_SPACING_MS = 100;
+
 /** One-way latency within a failure domain. */
 const LOCAL_LATENCY_MS = 0.1;
 
@@ -130,6 +134,8 @@
   private readonly openConnections = new Map<string, number>();
   private readonly busyConnections = new Map<string, number>();
   private lastView = '';
+  private isBroadcastDue = false;
+  private broadcastMs = -Infinity;
 
   /** @param options - place, list of targets and surroundings */
   constructor(options: SimulatedVmOptions) {
@@ -215,9 +221,28 @@
     events.add(nowMs + ROUND_MS, atMs => this.gossip(atMs));
     const port = this.membership.nextPeer(random)?.port;
     const peer = port === undefined ? undefined : this.around.reach(this, port);
-    if (peer === undefined) {
+    if (peer !== undefined) {
+      this.exchangeWith(peer, nowMs);
+    }
+  }
+
+  /** Exchange with all live peers, after an urgent fact. */
+  private broadcast(nowMs: number): void {
+    this.isBroadcastDue = false;
+    if (!this.isUp) {
       return;
     }
+    this.broadcastMs = nowMs;
+    for (const {incarnation, state} of this.membership.members()) {
+      const peer = this.around.reach(this, incarnation.port);
+      if (state !== 'dead' && peer !== undefined && peer !== this) {
+        this.exchangeWith(peer, nowMs);
+      }
+    }
+  }
+
+  private exchangeWith(peer: SimulatedVm, nowMs: number): void {
+    const {events} = this.around;
     const digest = this.membership.digest();
     const latencyMs = this.latencyToVm(peer);
     events.add(nowMs + latencyMs, askedMs => {
@@ -272,17 +297,22 @@
       case 'probe':
         return this.probe(effect, nowMs);
       case 'publish':
-        return this.publish(effect.key, effect.value);
+        return this.publish(effect.key, effect.value, nowMs);
       case 'event':
         return this.onEvent(effect);
     }
   }
 
-  private publish(key: string, value: string): void {
+  private publish(key: string, value: string, nowMs: number): void {
     const isReport = key.startsWith('report/');
     if (!isReport || this.around.scenario.sharesReports) {
       this.membership.publish(key, value);
     }
+    if (isUrgentFact(key) && !this.isBroadcastDue) {
+      this.isBroadcastDue = true;
+      const dueMs = Math.max(nowMs, this.broadcastMs + BROADCAST_SPACING_MS);
+      this.around.events.add(dueMs, atMs => this.broadcast(atMs));
+    }
   }
 
   private onEvent({name, details}: EffectOf<'event'>): void {
--- a/src/daemon/composition_root.ts
+++ b/src/daemon/composition_root.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import {randomInt, randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type Logger from 'bunyan';
 import {Container, type ServiceIdentifier} from 'inversify';
 import {CallerServer, DEFAULT_CALLER_LIMITS} from '../caller_http/index.js';
@@ -39,6 +40,7 @@
 import {PeerTransport} from './peer_transport.js';
 import {RingEventLog} from './ring_event_log.js';
 import {WallClockStamp} from './wall_clock_stamp.js';
+import {UrgentGossip} from './urgent_gossip.js';
 
 /** What a daemon is composed from. */
 export interface ComposeOptions {
@@ -154,6 +156,12 @@
   );
   container.bind(EffectRunner).toDynamicValue(({get}) => {
     const membership = get(GossipMembership);
+    const urgent = new UrgentGossip({
+      membership,
+      transport: get(PeerTransport),
+      log: new ComponentLog(logger, 'peers'),
+      sleep,
+    });
     return new EffectRunner({
       clock: get(Clock),
       engine: get(RequestEngine),
@@ -162,7 +170,10 @@
       events: get(EventLog),
       metrics: get(DaemonMetrics),
       log: new ComponentLog(logger, 'engine'),
-      publish: (key, value) => membership.publish(key, value),
+      publish: (key, value) => {
+        membership.publish(key, value);
+        urgent.onPublished(key);
+      },
     });
   });
   container.bind(CallerServer).toDynamicValue(({get}) => {
--- /dev/null
+++ b/src/daemon/urgent_gossip_test.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import bunyan from 'bunyan';
+import type {Member, Membership} from '../membership/index.js';
+import {ComponentLog} from './component_log.js';
+import type {PeerAddress, PeerTransport} from './peer_transport.js';
+import {UrgentGossip} from './urgent_gossip.js';
+
+const STATES = ['ready', 'ready', 'suspect', 'dead'] as const;
+
+const members: readonly Member[] = STATES.map((state, index) => ({
+  incarnation: {
+    vmId: `e-0${index}`,
+    bootId: `b${index}`,
+    host: '127.0.0.1',
+    port: 9_000 + index,
+  },
+  state,
+  lastHeardMs: 0,
+}));
+
+test('urgent facts reach all live peers, those of one broadcast together', async () => {
+  // Guards against a crash cause that moves from VM to VM while gossip still
+  // spreads it, and against a broadcast for each of many facts.
+  const ports: number[] = [];
+  let finish: () => void = () => undefined;
+  const sleeps: (() => void)[] = [];
+  const gossip = new UrgentGossip({
+    membership: {
+      self: members[0]!.incarnation,
+      members: () => members,
+    } as unknown as Membership,
+    transport: {
+      exchange: (peer: PeerAddress) => {
+        ports.push(peer.port);
+        return new Promise<boolean>(resolve => {
+          finish = () => resolve(true);
+        });
+      },
+    } as unknown as PeerTransport,
+    log: new ComponentLog(
+      bunyan.createLogger({name: 'test', level: 'fatal'}),
+      'peers',
+    ),
+    sleep: () => new Promise<void>(resolve => sleeps.push(resolve)),
+  });
+  gossip.onPublished('report/t-01');
+  assert.deepEqual(ports, []);
+  gossip.onPublished('quarantine/a');
+  gossip.onPublished('quarantine/b');
+  gossip.onPublished('drain/t-01');
+  assert.deepEqual(ports, [9_001, 9_002]);
+  finish();
+  assert.equal(sleeps.length, 0);
+});
