--- /dev/null
+++ b/bench/document_cost.ts
@@ -0,0 +1,69 @@
+/**
+ * Size of documents at the planned size and time to parse them once in a cold
+ * process, during which the event loop is blocked.
+ *
+ * Usage: node dist/bench/document_cost.js (no random input, so no seed)
+ *
+ * @packageDocumentation
+ */
+import {parseConfigDocument, parseVmListDocument} from '../src/preset/index.js';
+
+const SERVICE_COUNT = 1_800;
+const TARGET_COUNT = 9_400;
+
+const KIND = {idempotent: true, urgent: false, long: false, worth: 1};
+const SERVICE = {
+  slotsPerTarget: 6,
+  connectionsPerTarget: 280,
+  probeBudgetPerSecond: 200,
+  routing: 'estimated-load',
+  longLaneShare: 0.5,
+  maxEjectedShare: 0.3,
+  retryBudgetShare: 0.1,
+  queueCapacity: 256,
+  slowStartMs: 5_000,
+  kinds: {
+    price: {...KIND, method: 'GET', pathPrefix: '/price', timeoutMs: 1_000},
+    book: {...KIND, method: 'POST', pathPrefix: '/book', timeoutMs: 2_000},
+  },
+};
+
+function configText(): string {
+  const services = Object.fromEntries(
+    Array.from({length: SERVICE_COUNT}, (_, i) => [`service-${i}`, SERVICE]),
+  );
+  const presets = {day: {vmCeiling: 32, services}};
+  return JSON.stringify({revision: 1, inForce: 'day', presets});
+}
+
+function vmListText(): string {
+  const vms = Array.from({length: TARGET_COUNT}, (_, i) => ({
+    id: `t-${i}`,
+    role: 'target',
+    service: `service-${i % SERVICE_COUNT}`,
+    host: `10.${i >> 16}.${(i >> 8) & 255}.${i & 255}`,
+    port: 8_080,
+    failureDomain: `domain-${i % 11}`,
+    state: 'live',
+  }));
+  return JSON.stringify({vms});
+}
+
+function report(name: string, text: string, parse: () => boolean): void {
+  const startMs = performance.now();
+  const cpuBefore = process.cpuUsage();
+  const isValid = parse();
+  const cpu = process.cpuUsage(cpuBefore);
+  const elapsedMs = performance.now() - startMs;
+  const cpuMs = (cpu.user + cpu.system) / 1_000;
+  console.log(
+    `${name}: ${Buffer.byteLength(text)} bytes, parsed in ` +
+      `${elapsedMs.toFixed(0)} ms, processor time of all threads ` +
+      `${cpuMs.toFixed(0)} ms, ${isValid ? 'valid' : 'rejected'}`,
+  );
+}
+
+const config = configText();
+const vmList = vmListText();
+report('config', config, () => parseConfigDocument(config).isOk());
+report('vms', vmList, () => parseVmListDocument(vmList).isOk());
