--- a/src/cli/vm_client.ts
+++ b/src/cli/vm_client.ts
@@ -32,6 +32,8 @@
 
 /** Unknown keys are ignored: VMs of a later version may send more. */
 const statusSchema = z.object({
+  // VMs of the first version do not state it.
+  version: z.string().default('unknown'),
   vmId: z.string(),
   bootId: z.string(),
   failureDomain: z.string(),
@@ -110,6 +112,11 @@
  *
  * @param addresses - operator ports as `host:port`
  * @returns answers and failures; never throws
+ *
+ * @example
+ * ```ts
+ * const {answers} = await fetchTimelines(['10.0.0.1:9090']);
+ * ```
  */
 export function fetchTimelines(
   addresses: readonly string[],
--- a/src/engine/attempt_flow.ts
+++ b/src/engine/attempt_flow.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type {InstantMs} from '../core/index.js';
-import {Attempt, decideRetry} from '../retries/index.js';
+import {Attempt, decideRetry, type RetryCost} from '../retries/index.js';
 import type {AttemptOutcome} from '../routing/index.js';
 import type {ActiveRequest} from './active_request.js';
 import type {Completion} from './completion.js';
@@ -15,6 +15,22 @@
 type ResponseSignal = Extract<AttemptSignal, {type: 'response'}>;
 type LostSignal = Extract<AttemptSignal, {type: 'lost'}>;
 
+/** Tokens of the retry budget that a retry costs. */
+const ORDINARY_RETRY_COST = 1;
+
+/**
+ * The same after an explicit refusal. The target did no work, so a retry cannot
+ * multiply an overload as one after a timeout does.
+ */
+const REFUSAL_RETRY_COST = 0.2;
+
+/**
+ * Tokens that retries of the cheapest kind leave for the others. Half of the
+ * level up to which tokens return without traffic, so that a service of little
+ * traffic retries all kinds.
+ */
+const CHEAPEST_KIND_RESERVE = 5;
+
 /** A request together with its current attempt. */
 interface Running {
   readonly request: ActiveRequest;
@@ -235,6 +251,8 @@
       quarantine.isImplicated(fingerprint, nowMs),
     );
     quarantine.onCrash(targetId, fingerprints, nowMs);
+    // Each VM that does not know of it yet may lose another target.
+    this.context.hasUrgentFacts = true;
     const details = {targetId, requestCount: fingerprints.length};
     this.context.event('target', 'target-crashed', details);
     return isBlamed;
@@ -301,7 +319,8 @@
       nowMs,
     });
     if (decision.type === 'retry') {
-      const isAllowed = request.service.budget.tryTake(nowMs);
+      const cost = retryCostOf(request, cause);
+      const isAllowed = request.service.budget.tryTake(nowMs, cost);
       return isAllowed ? undefined : 'retry-budget';
     }
     if (decision.reason === 'deadline') {
@@ -353,3 +372,12 @@
       .observeUnfinished(nowMs - attempt.sentMs, nowMs);
   }
 }
+
+/** What a retry takes of the budget, by cause and worth of the request. */
+function retryCostOf(request: ActiveRequest, cause: RefusalReason): RetryCost {
+  const isCheapest = request.snapshot.isCheapest(request.kind);
+  return {
+    cost: cause === 'overloaded' ? REFUSAL_RETRY_COST : ORDINARY_RETRY_COST,
+    reserve: isCheapest ? CHEAPEST_KIND_RESERVE : 0,
+  };
+}
--- a/src/retries/index.ts
+++ b/src/retries/index.ts
@@ -11,10 +11,11 @@
   type AttemptEvent,
   type AttemptState,
 } from './attempt_chart.js';
-export {RetryBudget} from './retry_budget.js';
+export {RetryBudget, type RetryCost} from './retry_budget.js';
 export {
   decideRetry,
   MAX_ATTEMPTS,
+  MAX_ATTEMPTS_WITH_REFUSALS,
   type RetryDecision,
   type RetryQuestion,
   type RetryRefusal,
