Do not break one slow request off again and again

The trace shows a batch-check of about 400 ms whose kind was observed once, with 119 ms, at its VM: it was broken off after 357 ms at three targets in turn and ended as 502 no-target. The adapter also did not mark these losses as silent, so each counted as a failure of its target. Change: the limit of silence is four times as long after each lost attempt; a loss by silence carries the mark `silent`.

--- a/src/engine/attempt_flow.ts
+++ b/src/engine/attempt_flow.ts
@@ -81,7 +81,8 @@
       silenceLimitMs: kind.idempotent
         ? service.silenceLimitMs(kind, {
             remainingMs: request.deadlineMs - nowMs,
-            isRetry: request.verdicts.length > 0,
+            lostCount: request.verdicts.filter(verdict => verdict !== 'not-run')
+              .length,
           })
         : undefined,
       deadlineMs: request.deadlineMs,
--- a/src/engine/service_state.ts
+++ b/src/engine/service_state.ts
@@ -19,6 +19,9 @@
 /** Silence on a connection, in multiples of the kind's p99, that is a fault. */
 const SILENCE_FACTOR = 3;
 
+/** Growth of the limit of silence with each lost attempt of a request. */
+const SILENCE_GROWTH = 4;
+
 /**
  * Limit of silence as a share of the remaining time while the service time of
  * the kind is unknown. Most of the time is left for another attempt.
@@ -146,22 +149,25 @@
   }
 
   /**
-   * Limit of silence on a connection. For a kind that was not observed yet it
-   * is a share of the remaining time, and only once in a request: a kind that
-   * always takes longer would never be answered otherwise.
+   * Limit of silence on a connection. It grows with each attempt that was lost,
+   * since an estimate from few observations can be far too short: a slow kind
+   * would lose one attempt after the other. For a kind that was not observed
+   * yet it is a share of the remaining time, and only for the first attempt.
    */
   silenceLimitMs(
     kind: KindPreset,
-    options: {readonly remainingMs: number; readonly isRetry: boolean},
+    options: {readonly remainingMs: number; readonly lostCount: number},
   ): number | undefined {
+    const {remainingMs, lostCount} = options;
     const p99Ms = this.estimators.get(kind.name)?.p99Ms ?? 0;
     if (p99Ms > 0) {
-      return Math.max(MIN_SILENCE_MS, Math.round(p99Ms * SILENCE_FACTOR));
+      const limitMs = Math.max(MIN_SILENCE_MS, p99Ms * SILENCE_FACTOR);
+      return Math.round(limitMs * SILENCE_GROWTH ** lostCount);
     }
-    if (options.isRetry) {
+    if (lostCount > 0) {
       return undefined;
     }
-    const shareMs = Math.round(options.remainingMs * UNOBSERVED_SILENCE_SHARE);
+    const shareMs = Math.round(remainingMs * UNOBSERVED_SILENCE_SHARE);
     return Math.max(MIN_SILENCE_MS, shareMs);
   }
 
--- a/src/target_http/connection_pool.ts
+++ b/src/target_http/connection_pool.ts
@@ -329,7 +329,7 @@
         this.drop(other);
       }
     }
-    attempt?.finish({type: 'lost', crashed: false});
+    attempt?.finish({type: 'lost', crashed: false, silent: true});
     this.openForWaiting();
   }
 
