--- a/bench/daemon_cost.ts
+++ b/bench/daemon_cost.ts
@@ -204,6 +204,9 @@
     );
   }
   table.print();
+  if (figures.length < 2) {
+    return;
+  }
   const slope = (valueOf: (figure: Figures) => number): number =>
     slopeOf(figures.map((f): Point => ({x: f.vmCount, y: valueOf(f)})));
   console.log(
