Show in the test that urgent facts share the next broadcast

Cause: the test ended before the second broadcast, so facts published during a broadcast could have been lost without notice. Change: the test follows the broadcasts to their end and counts the exchanges. Conclusion: the test covers both halves of its name.

--- a/src/daemon/urgent_gossip_test.ts
+++ b/src/daemon/urgent_gossip_test.ts
@@ -23,7 +23,6 @@
   // Guards against a crash cause that moves from VM to VM while gossip still
   // spreads it, and against a broadcast for each of many facts.
   const ports: number[] = [];
-  let finish: () => void = () => undefined;
   const sleeps: (() => void)[] = [];
   const gossip = new UrgentGossip({
     membership: {
@@ -33,9 +32,7 @@
     transport: {
       exchange: (peer: PeerAddress) => {
         ports.push(peer.port);
-        return new Promise<boolean>(resolve => {
-          finish = () => resolve(true);
-        });
+        return Promise.resolve(true);
       },
     } as unknown as PeerTransport,
     log: new ComponentLog(
@@ -50,6 +47,13 @@
   gossip.onPublished('quarantine/b');
   gossip.onPublished('drain/t-01');
   assert.deepEqual(ports, [9_001, 9_002]);
-  finish();
-  assert.equal(sleeps.length, 0);
+  const settle = () => new Promise(setImmediate);
+  await settle();
+  sleeps[0]?.();
+  await settle();
+  const second = [9_001, 9_002, 9_001, 9_002];
+  assert.deepEqual(ports, second, 'one more broadcast for the other two facts');
+  sleeps[1]?.();
+  await settle();
+  assert.deepEqual(ports, second, 'nothing new, no broadcast');
 });
