--- a/bench/document_cost.ts
+++ b/bench/document_cost.ts
@@ -7,21 +7,14 @@
  * @packageDocumentation
  */
 import {parseConfigDocument, parseVmListDocument} from '../src/preset/index.js';
+import {SAMPLE_SERVICE} from '../src/preset/sample_documents.js';
 
 const SERVICE_COUNT = 1_800;
 const TARGET_COUNT = 9_400;
 
 const KIND = {idempotent: true, urgent: false, long: false, worth: 1};
 const SERVICE = {
-  slotsPerTarget: 6,
-  connectionsPerTarget: 280,
-  probeBudgetPerSecond: 200,
-  routing: 'estimated-load',
-  longLaneShare: 0.5,
-  maxEjectedShare: 0.3,
-  retryBudgetShare: 0.1,
-  queueCapacity: 256,
-  slowStartMs: 5_000,
+  ...SAMPLE_SERVICE,
   kinds: {
     price: {...KIND, method: 'GET', pathPrefix: '/price', timeoutMs: 1_000},
     book: {...KIND, method: 'POST', pathPrefix: '/book', timeoutMs: 2_000},
