--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,10 +16,29 @@
   'membership',
   'engine',
   'timeline',
+  'routes',
+  'registry',
+  'fleet',
+  'load',
+  'delivery',
 ];
 
+/** The folder of the users' platform is for the program's entry point only. */
+const PLATFORM_PATTERN = {
+  regex: '^(\\.\\./)+platform/',
+  message: 'Only platform/main.ts uses the folder platform/.',
+};
+
 export default tseslint.config(
-  {ignores: ['dist/**', 'node_modules/**', '**/generated/**']},
+  {
+    ignores: [
+      'dist/**',
+      'target/**',
+      'journal/**',
+      'node_modules/**',
+      '**/generated/**',
+    ],
+  },
   js.configs.recommended,
   ...tseslint.configs.strict,
   {
@@ -50,6 +69,12 @@
       '@typescript-eslint/restrict-template-expressions': 'off',
     },
   },
+  {
+    files: ['src/**/*.ts', 'bench/**/*.ts', 'tests/**/*.ts'],
+    rules: {
+      'no-restricted-imports': ['error', {patterns: [PLATFORM_PATTERN]}],
+    },
+  },
   {
     files: PURE_FOLDERS.map(folder => `src/${folder}/**/*.ts`),
     ignores: ['**/*_test.ts', 'src/core/system_clock.ts'],
@@ -72,12 +97,17 @@
         'error',
         {
           patterns: [
-            'inversify',
-            'node:net',
-            'node:http',
-            'node:dgram',
-            'node:child_process',
-            'node:timers*',
+            PLATFORM_PATTERN,
+            {
+              group: [
+                'inversify',
+                'node:net',
+                'node:http',
+                'node:dgram',
+                'node:child_process',
+                'node:timers*',
+              ],
+            },
           ],
         },
       ],
--- /dev/null
+++ b/scripts/bundle.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Bundles the daemon for the platform into one file: on a VM with a fifth of a
+# core, loading modules one by one takes longer than an outage may last.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+npx esbuild platform/main.ts --bundle --platform=node --target=node20 \
+  --format=esm --minify-syntax --minify-whitespace --keep-names \
+  --outfile=target/sycamorepitchd.mjs --log-level=warning \
+  --external:dtrace-provider --external:moment --external:mv \
+  --external:safe-json-stringify --external:source-map-support \
+  --banner:js="import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);"
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 # The list comes from the sources: dist may hold output of deleted files.
-mapfile -t sources < <(find src bench -name '*_test.ts' | sort)
+mapfile -t sources < <(find src bench platform -name '*_test.ts' | sort)
 files=()
 for source in "${sources[@]}"; do
   files+=("dist/${source%.ts}.js")
--- a/src/caller_http/caller_server.ts
+++ b/src/caller_http/caller_server.ts
@@ -10,17 +10,16 @@
   type ServerResponse,
 } from 'node:http';
 import {Server as NetServer, type AddressInfo, type Socket} from 'node:net';
-import {
-  hashBytes,
-  hashText,
-  type Clock,
-  type InstantMs,
-} from '../core/index.js';
-import type {Outcome} from '../engine/index.js';
+import type {Clock, InstantMs} from '../core/index.js';
+import type {CallerRequest, Outcome} from '../engine/index.js';
 import type {TargetResponse} from '../target_http/index.js';
+import type {
+  CallerProtocol,
+  IdentifiedRequest,
+  RequestBuilder,
+} from './caller_protocol.js';
 import {Exchange, writeRefusal, type RefusalFields} from './exchange.js';
 import {endToEndHeaders} from './hop_headers.js';
-import {readHead, type RequestHead} from './request_head.js';
 
 /** Limits on what callers may send. */
 export interface CallerLimits {
@@ -47,49 +46,44 @@
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
 /** Receives requests and the departure of callers. */
-export interface CallerListener {
-  onRequest(exchange: Exchange): void;
+export interface CallerListener<R extends IdentifiedRequest = CallerRequest> {
+  onRequest(exchange: Exchange<R>): void;
   /** The caller closed its connection before it had its whole answer. */
   onCallerGone(requestId: string): void;
 }
 
 /** Options of {@link CallerServer}. */
-export interface CallerServerOptions {
+export interface CallerServerOptions<R extends IdentifiedRequest> {
   readonly clock: Clock;
   readonly limits: CallerLimits;
-  readonly listener: CallerListener;
+  readonly protocol: CallerProtocol<R>;
+  readonly listener: CallerListener<R>;
 }
 
-/** Headers that end at the balancer or that it states itself. */
-const NOT_FOR_TARGETS: ReadonlySet<string> = new Set([
-  'content-length',
-  'expect',
-  'x-request-token',
-  'x-timeout-ms',
-]);
-
 /**
  * HTTP server for callers. node:http orders the answers of pipelined requests;
  * each answer is bound to its request by an {@link Exchange}.
  *
  * @example
  * ```ts
- * const server = new CallerServer({clock, limits, listener});
+ * const server = new CallerServer({clock, limits, protocol, listener});
  * const port = await server.listen({host: '127.0.0.1', port: 0});
  * ```
  */
-export class CallerServer {
+export class CallerServer<R extends IdentifiedRequest = CallerRequest> {
   private readonly server: Server;
-  private readonly exchanges = new Map<string, Exchange>();
+  private readonly exchanges = new Map<string, Exchange<R>>();
+  private limits: CallerLimits;
   private readonly bySocket = new WeakMap<Socket, Set<string>>();
   private readonly brokenSockets = new WeakSet<Socket>();
   private requestCount = 0;
   private lastConnectionMs = -Infinity;
   private stopping = false;
 
-  /** @param options - clock, limits and listener */
-  constructor(private readonly options: CallerServerOptions) {
+  /** @param options - clock, limits, protocol and listener */
+  constructor(private readonly options: CallerServerOptions<R>) {
     const {limits} = options;
+    this.limits = limits;
     this.server = createServer({
       maxHeaderSize: limits.maxHeadBytes,
       headersTimeout: limits.headTimeoutMs,
@@ -157,7 +151,7 @@
    * @param requestId - id of the request
    * @returns the exchange, or undefined if it was answered or given up
    */
-  find(requestId: string): Exchange | undefined {
+  find(requestId: string): Exchange<R> | undefined {
     return this.exchanges.get(requestId);
   }
 
@@ -185,7 +179,6 @@
       exchange.answer(response);
     } else {
       exchange.refuse({
-        type: 'refusal',
         status: 502,
         verdict: 'ran',
         reason: 'connection-lost',
@@ -194,6 +187,19 @@
     }
   }
 
+  /**
+   * Replaces the limits for what arrives from now on. The greatest size of a
+   * head and the number of connections stay as they were at the start.
+   *
+   * @param limits - new limits
+   */
+  applyLimits(limits: CallerLimits): void {
+    this.limits = limits;
+    this.server.headersTimeout = limits.headTimeoutMs;
+    this.server.requestTimeout = limits.requestTimeoutMs;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+  }
+
   /** Asks callers to close their connections after the next answer. */
   beginDrain(): void {
     this.stopping = true;
@@ -210,6 +216,11 @@
     NetServer.prototype.close.call(this.server);
   }
 
+  /** Closes connections that carry no request. */
+  closeIdle(): void {
+    this.server.closeIdleConnections();
+  }
+
   /** Closes all connections at once. */
   destroy(): void {
     this.stopListening();
@@ -239,24 +250,29 @@
     if (this.stopping) {
       response.shouldKeepAlive = false;
     }
-    const {maxBodyBytes} = this.options.limits;
+    const {maxBodyBytes} = this.limits;
     if (Number(request.headers['content-length'] ?? 0) > maxBodyBytes) {
       writeRefusal(response, {...notRun(413, 'body-too-large'), close: true});
       return;
     }
-    const head = readHead(request.headers, request.url ?? '');
+    const head = this.options.protocol.readHead({
+      method: (request.method ?? 'GET').toUpperCase(),
+      target: request.url ?? '',
+      headers: request.headers,
+      arrivedMs: this.options.clock.nowMs(),
+      callerAddress: request.socket.remoteAddress ?? '',
+    });
     if (head.isErr()) {
       const {message} = head.error;
       const close = hasBody(request);
       writeRefusal(response, {...notRun(400, 'bad-request'), message, close});
       return;
     }
-    const arrivedMs = this.options.clock.nowMs();
     if (expectsContinue) {
       response.writeContinue();
     }
     this.readBody(request, response, body => {
-      this.onBody({request, response, head: head.value, arrivedMs, body});
+      this.onBody({request, response, build: head.value, body});
     });
   }
 
@@ -274,7 +290,7 @@
     let sizeBytes = 0;
     request.on('data', (chunk: Buffer) => {
       sizeBytes += chunk.length;
-      if (sizeBytes <= this.options.limits.maxBodyBytes) {
+      if (sizeBytes <= this.limits.maxBodyBytes) {
         chunks.push(chunk);
       } else if (!response.headersSent) {
         chunks.length = 0;
@@ -288,19 +304,21 @@
     });
   }
 
-  private onBody(parts: RequestParts): void {
+  private onBody(parts: RequestParts<R>): void {
     const {request, response, body} = parts;
+    const {protocol} = this.options;
     const ids = this.bySocket.get(request.socket);
     if (ids === undefined || request.socket.destroyed) {
       return;
     }
     const requestId = `r${++this.requestCount}`;
     const exchange = new Exchange(
-      describeRequest(requestId, parts),
-      endToEndHeaders(request.headers, NOT_FOR_TARGETS),
+      parts.build({requestId, body}),
+      endToEndHeaders(request.headers, protocol.requestHeadersDropped),
       body !== undefined && body.length > 0 ? body : undefined,
       response,
       () => this.onAnswered(requestId, request.socket),
+      protocol,
     );
     ids.add(requestId);
     this.exchanges.set(requestId, exchange);
@@ -331,35 +349,13 @@
 }
 
 /** A request after its body was read. */
-interface RequestParts {
+interface RequestParts<R> {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
-  readonly head: RequestHead;
-  readonly arrivedMs: number;
+  readonly build: RequestBuilder<R>;
   readonly body: Buffer | undefined;
 }
 
-function describeRequest(
-  requestId: string,
-  parts: RequestParts,
-): Exchange['request'] {
-  const {head, request, body, arrivedMs} = parts;
-  const method = (request.method ?? 'GET').toUpperCase();
-  const bodyHash = body === undefined ? '' : hashBytes(body);
-  return {
-    requestId,
-    service: head.service,
-    method,
-    path: head.path,
-    fingerprint: hashText(`${method} ${head.path}\n${bodyHash}`),
-    bodySizeBytes: body?.length ?? 0,
-    idempotencyKey: head.idempotencyKey,
-    attempt: head.attempt,
-    deadlineMs:
-      head.timeoutMs === undefined ? undefined : arrivedMs + head.timeoutMs,
-  };
-}
-
 function hasBody(request: IncomingMessage): boolean {
   const {headers} = request;
   const length = Number(headers['content-length'] ?? 0);
--- a/src/caller_http/caller_server_test.ts
+++ b/src/caller_http/caller_server_test.ts
@@ -4,7 +4,12 @@
 import {test, type TestContext} from 'node:test';
 import {SystemClock} from '../core/index.js';
 import {TargetResponse} from '../target_http/index.js';
-import {CallerServer, DEFAULT_CALLER_LIMITS, type Exchange} from './index.js';
+import {
+  CallerServer,
+  DEFAULT_CALLER_LIMITS,
+  OwnCallerProtocol,
+  type Exchange,
+} from './index.js';
 
 interface Fixture {
   readonly server: CallerServer;
@@ -23,6 +28,7 @@
   const server = new CallerServer({
     clock: new SystemClock(),
     limits: {...DEFAULT_CALLER_LIMITS, maxBodyBytes: 100, ...limits},
+    protocol: new OwnCallerProtocol(),
     listener: {
       onRequest: exchange => {
         exchanges.push(exchange);
@@ -251,7 +257,6 @@
   // Guards against callers that cannot tell whether to send again.
   const {port} = await start(t, exchange =>
     exchange.refuse({
-      type: 'refusal',
       status: 503,
       verdict: 'not-run',
       reason: 'overloaded',
--- a/src/caller_http/exchange.ts
+++ b/src/caller_http/exchange.ts
@@ -4,28 +4,24 @@
  * @packageDocumentation
  */
 import type {ServerResponse} from 'node:http';
-import type {Outcome, CallerRequest} from '../engine/index.js';
+import type {Verdict} from '../core/index.js';
+import type {CallerRequest} from '../engine/index.js';
 import type {BodySink, TargetResponse} from '../target_http/index.js';
+import type {CallerProtocol, IdentifiedRequest} from './caller_protocol.js';
 import {endToEndHeaders} from './hop_headers.js';
 
-/** A refusal of the engine. */
-export type Refusal = Extract<Outcome, {readonly type: 'refusal'}>;
-
-/**
- * Headers that targets send to the balancer, and headers that only the
- * balancer may state to callers.
- */
-const NOT_FOR_CALLERS: ReadonlySet<string> = new Set([
-  'content-length',
-  'x-load-in-flight',
-  'x-refusal-reason',
-  'x-target-draining',
-  'x-target-refused',
-  'x-verdict',
-]);
+/** An answer of the balancer itself. */
+export interface Refusal {
+  readonly status: number;
+  readonly verdict: Verdict;
+  /** Short word for the cause. */
+  readonly reason: string;
+  /** Seconds for the `retry-after` header; undefined for none. */
+  readonly retryAfterSeconds: number | undefined;
+}
 
 /** A request that was read and waits for its answer. */
-export class Exchange {
+export class Exchange<R extends IdentifiedRequest = CallerRequest> {
   private answered = false;
 
   /**
@@ -34,13 +30,15 @@
    * @param body - body; undefined for a request without
    * @param response - where the answer goes
    * @param onAnswered - called once when the last byte was handed over
+   * @param protocol - headers of the answer
    */
   constructor(
-    readonly request: CallerRequest,
+    readonly request: R,
     readonly headers: readonly string[],
     readonly body: Buffer | undefined,
     private readonly response: ServerResponse,
     private readonly onAnswered: () => void,
+    private readonly protocol: CallerProtocol<R>,
   ) {}
 
   /** True once an answer was begun. */
@@ -58,8 +56,9 @@
       return;
     }
     this.answered = true;
-    const headers = endToEndHeaders(source.headers, NOT_FOR_CALLERS);
-    headers.push('x-verdict', 'ran');
+    const {responseHeadersDropped, responseHeadersAdded} = this.protocol;
+    const headers = endToEndHeaders(source.headers, responseHeadersDropped);
+    headers.push(...responseHeadersAdded);
     const length = this.contentLength(source);
     if (length !== undefined) {
       headers.push('content-length', length);
@@ -71,7 +70,6 @@
       this.answered = false;
       source.discard();
       this.refuse({
-        type: 'refusal',
         status: 502,
         verdict: 'ran',
         reason: 'connection-lost',
--- a/src/caller_http/index.ts
+++ b/src/caller_http/index.ts
@@ -10,5 +10,14 @@
   type CallerListener,
   type CallerServerOptions,
 } from './caller_server.js';
+export {
+  CallerProtocol,
+  type HeadError,
+  type IdentifiedRequest,
+  type ReceivedBody,
+  type ReceivedHead,
+  type RequestBuilder,
+} from './caller_protocol.js';
+export {OwnCallerProtocol} from './own_caller_protocol.js';
 export {Exchange, type Refusal} from './exchange.js';
 export {endToEndHeaders, type HeaderFields} from './hop_headers.js';
--- /dev/null
+++ b/src/caller_http/own_caller_protocol.ts
@@ -0,0 +1,71 @@
+/**
+ * The product's own protocol for callers.
+ *
+ * @packageDocumentation
+ */
+import type {Result} from 'neverthrow';
+import {hashBytes, hashText} from '../core/index.js';
+import type {CallerRequest} from '../engine/index.js';
+import {
+  CallerProtocol,
+  type HeadError,
+  type ReceivedBody,
+  type ReceivedHead,
+  type RequestBuilder,
+} from './caller_protocol.js';
+import {readHead, type RequestHead} from './request_head.js';
+
+/** Service, key and attempt count in headers; verdicts in answers. */
+export class OwnCallerProtocol extends CallerProtocol<CallerRequest> {
+  /** Headers that end at the balancer or that it states itself. */
+  override readonly requestHeadersDropped: ReadonlySet<string> = new Set([
+    'content-length',
+    'expect',
+    'x-request-token',
+    'x-timeout-ms',
+  ]);
+
+  /**
+   * Headers that targets send to the balancer, and headers that only the
+   * balancer may state to callers.
+   */
+  override readonly responseHeadersDropped: ReadonlySet<string> = new Set([
+    'content-length',
+    'x-load-in-flight',
+    'x-refusal-reason',
+    'x-target-draining',
+    'x-target-refused',
+    'x-verdict',
+  ]);
+
+  override readonly responseHeadersAdded = ['x-verdict', 'ran'];
+
+  override readHead(
+    received: ReceivedHead,
+  ): Result<RequestBuilder<CallerRequest>, HeadError> {
+    return readHead(received.headers, received.target).map(
+      head => body => describeRequest(received, head, body),
+    );
+  }
+}
+
+function describeRequest(
+  received: ReceivedHead,
+  head: RequestHead,
+  {requestId, body}: ReceivedBody,
+): CallerRequest {
+  const {method, arrivedMs} = received;
+  const bodyHash = body === undefined ? '' : hashBytes(body);
+  return {
+    requestId,
+    service: head.service,
+    method,
+    path: head.path,
+    fingerprint: hashText(`${method} ${head.path}\n${bodyHash}`),
+    bodySizeBytes: body?.length ?? 0,
+    idempotencyKey: head.idempotencyKey,
+    attempt: head.attempt,
+    deadlineMs:
+      head.timeoutMs === undefined ? undefined : arrivedMs + head.timeoutMs,
+  };
+}
--- a/src/caller_http/request_head.ts
+++ b/src/caller_http/request_head.ts
@@ -5,6 +5,7 @@
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
+import type {HeadError} from './caller_protocol.js';
 
 /** Greatest length of an idempotency key. */
 const MAX_KEY_LENGTH = 256;
@@ -20,13 +21,6 @@
   readonly timeoutMs: number | undefined;
 }
 
-/** A head that cannot be acted on; the request was not run. */
-export interface HeadError {
-  readonly type: 'bad-head';
-  /** Names the field and what was expected. */
-  readonly message: string;
-}
-
 /**
  * Reads the head of a request.
  *
--- a/src/daemon/composition_root.ts
+++ b/src/daemon/composition_root.ts
@@ -7,7 +7,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type Logger from 'bunyan';
 import {Container, type ServiceIdentifier} from 'inversify';
-import {CallerServer, DEFAULT_CALLER_LIMITS} from '../caller_http/index.js';
+import {
+  CallerServer,
+  DEFAULT_CALLER_LIMITS,
+  OwnCallerProtocol,
+} from '../caller_http/index.js';
 import {Clock, RandomSource, SeededRandom, SystemClock} from '../core/index.js';
 import {RequestEngine} from '../engine/index.js';
 import {GossipMembership, ownerIdOf, type Fact} from '../membership/index.js';
@@ -192,6 +196,7 @@
         ),
         idleTimeoutMs: caller.idleTimeoutMs,
       },
+      protocol: new OwnCallerProtocol(),
       listener: runner,
     });
     runner.attach(server);
@@ -254,7 +259,7 @@
         claims: get(ClaimRouter),
         runner: get(EffectRunner),
         targets: get(TargetClient),
-        callers: get(CallerServer),
+        callers: get<CallerServer>(CallerServer),
         createOperator: view => new OperatorServer(view),
         metrics: get(DaemonMetrics),
         events: get(EventLog),
--- a/src/daemon/effect_runner_test.ts
+++ b/src/daemon/effect_runner_test.ts
@@ -6,6 +6,7 @@
   CallerServer,
   DEFAULT_CALLER_LIMITS,
   Exchange,
+  OwnCallerProtocol,
 } from '../caller_http/index.js';
 import {ManualClock} from '../core/index.js';
 import type {
@@ -79,7 +80,13 @@
     publish: () => undefined,
   });
   const limits = DEFAULT_CALLER_LIMITS;
-  const server = new RecordingServer({clock, limits, listener: runner});
+  const protocol = new OwnCallerProtocol();
+  const server = new RecordingServer({
+    clock,
+    limits,
+    protocol,
+    listener: runner,
+  });
   runner.attach(server);
   const open = (requestId: string): Exchange => {
     const request = {
@@ -94,7 +101,14 @@
       deadlineMs: undefined,
     };
     const response = {} as ServerResponse;
-    const exchange = new Exchange(request, [], undefined, response, () => {});
+    const exchange = new Exchange(
+      request,
+      [],
+      undefined,
+      response,
+      () => {},
+      protocol,
+    );
     server.open.set(requestId, exchange);
     return exchange;
   };
--- /dev/null
+++ b/src/delivery/delivery_engine.ts
@@ -0,0 +1,832 @@
+/**
+ * The life of requests that follow published routes.
+ *
+ * @packageDocumentation
+ */
+import type {InstantMs, RandomSource} from '../core/index.js';
+import type {AttemptSignal} from '../engine/index.js';
+import {
+  chooseTarget,
+  costOf,
+  WorkEstimate,
+  type LoadBoard,
+  type RequestNeeds,
+  type TargetChoice,
+  type TargetForecast,
+  type TargetOutcome,
+} from '../load/index.js';
+import type {CrashQuarantine} from '../recovery/index.js';
+import {WindowBudget, type WindowLimit} from '../retries/index.js';
+import {
+  WeightedSplit,
+  type RouteRule,
+  type RouteTable,
+} from '../routes/index.js';
+import {Delivery, type DeliveryAttempt} from './delivery.js';
+import {buildRefusal} from './refusal.js';
+import type {
+  DeliveryEffect,
+  DeliveryEvent,
+  DeliveryReason,
+  RoutedRequest,
+} from './types.js';
+
+/** Part of the objective for which a request may wait for a free target. */
+const MAX_WAIT_SHARE = 1 / 8;
+
+/** Multiple of the forecast after which an unanswered attempt is looked at. */
+const REVIEW_FACTOR = 1.5;
+
+/** Least time after which an unanswered attempt is looked at. */
+const MIN_REVIEW_MS = 40;
+
+/** Interval of further looks. */
+const REVIEW_INTERVAL_MS = 40;
+
+/** Part of the resend budget that second sends leave for refused requests. */
+const SECOND_SEND_RESERVE = 0.4;
+
+/** Connections that cannot be opened for one request until it is given up. */
+const MAX_UNREACHABLE = 6;
+
+/** Requests that may wait at a target, as a share of its slots. */
+const MAX_EXCESS_SHARE = 0.7;
+
+/** Size that requests of a route are assumed to have before any answer. */
+const INITIAL_SIZE_KB = 2;
+
+/** Weight of an answer in the mean size. */
+const SIZE_GAIN = 0.1;
+
+/** Connections that one VM may open to a target at least. */
+const MIN_CONNECTIONS = 2;
+
+/** Options of {@link DeliveryEngine}. */
+export interface DeliveryEngineOptions {
+  readonly board: LoadBoard;
+  readonly quarantine: CrashQuarantine;
+  readonly random: RandomSource;
+  readonly resendLimit: WindowLimit;
+  /** Upper bound of the number of VMs. */
+  readonly fleetSize: (nowMs: InstantMs) => number;
+}
+
+/** What is learned of the requests of a route. */
+interface RouteExperience {
+  readonly work: WorkEstimate;
+  sizeKb: number;
+}
+
+/**
+ * Takes requests, attempts' signals and time; returns what adapters must do.
+ * Each request has one end: the first of response, refusal, route's time,
+ * caller's deadline and caller's departure decides and ends all the rest.
+ *
+ * @example
+ * ```ts
+ * const engine = new DeliveryEngine(options);
+ * engine.applyRoutes(table);
+ * perform(engine.onRequest(request, clock.nowMs()));
+ * ```
+ */
+export class DeliveryEngine {
+  private table: RouteTable | undefined;
+  private isLeaving = false;
+  private readonly split = new WeightedSplit();
+  private readonly deliveries = new Map<string, Delivery>();
+  private readonly byToken = new Map<string, Delivery>();
+  private readonly waiting = new Set<Delivery>();
+  private readonly experience = new Map<string, RouteExperience>();
+  private readonly budgets = new Map<string, WindowBudget>();
+  private effects: DeliveryEffect[] = [];
+  private tokenCount = 0;
+
+  /** @param options - load of targets, quarantine, budget and random source */
+  constructor(private readonly options: DeliveryEngineOptions) {}
+
+  /** Requests that are not answered, or whose attempts have not ended. */
+  get openCount(): number {
+    return this.deliveries.size;
+  }
+
+  /** Makes routes the ones for requests that arrive from now on. */
+  applyRoutes(table: RouteTable): void {
+    this.table = table;
+  }
+
+  /** Refuses requests that arrive from now on. */
+  beginLeaving(): void {
+    this.isLeaving = true;
+  }
+
+  /** Fingerprints to tell peers of. */
+  implications(nowMs: InstantMs): ReadonlyMap<string, readonly string[]> {
+    return this.options.quarantine.implications(nowMs);
+  }
+
+  /**
+   * Finds the instant at which {@link onTimer} must be called next.
+   *
+   * @returns instant in milliseconds; infinite for none
+   */
+  nextTimerMs(): InstantMs {
+    let next = Infinity;
+    for (const delivery of this.deliveries.values()) {
+      if (!delivery.isClosed) {
+        next = Math.min(next, delivery.finalAtMs, delivery.reviewAtMs);
+        if (this.waiting.has(delivery)) {
+          next = Math.min(next, delivery.waitUntilMs);
+        }
+      }
+    }
+    return next;
+  }
+
+  /**
+   * Takes in a request.
+   *
+   * @param request - request of a caller
+   * @param nowMs - current instant in milliseconds
+   * @returns effects to carry out
+   */
+  onRequest(
+    request: RoutedRequest,
+    nowMs: InstantMs,
+  ): readonly DeliveryEffect[] {
+    const {table} = this;
+    if (table === undefined) {
+      return this.refuseAtOnce(request, 'no-routes');
+    }
+    const rule = table.find(request.host, request.path);
+    if (rule === undefined) {
+      return this.refuseAtOnce(request, 'no-route');
+    }
+    if (this.isLeaving) {
+      return this.refuseAtOnce(request, 'leaving');
+    }
+    const service = this.split.next(rule, this.options.random.nextFloat());
+    if (service === undefined) {
+      return this.refuseAtOnce(request, 'no-target');
+    }
+    if (this.options.quarantine.isQuarantined(request.fingerprint, nowMs)) {
+      return this.refuseAtOnce(request, 'quarantined');
+    }
+    const delivery = new Delivery(request, rule, service, {
+      maxWaitMs: rule.objectiveMs * MAX_WAIT_SHARE,
+    });
+    this.deliveries.set(request.requestId, delivery);
+    this.budgetOf(service).onRequest(nowMs);
+    this.dispatch(delivery, nowMs);
+    return this.takeEffects();
+  }
+
+  /**
+   * Takes in a step of an attempt. After `sent` the adapter must look for a
+   * `cancel` of the token before it writes the first byte.
+   *
+   * @param token - token of the `send` effect
+   * @param signal - what happened
+   * @param nowMs - current instant in milliseconds
+   * @returns effects to carry out
+   */
+  onSignal(
+    token: string,
+    signal: AttemptSignal,
+    nowMs: InstantMs,
+  ): readonly DeliveryEffect[] {
+    const delivery = this.byToken.get(token);
+    const attempt = delivery?.attempts.find(each => each.token === token);
+    if (delivery === undefined || attempt === undefined) {
+      if (signal.type === 'response') {
+        this.effects.push({type: 'discard', token});
+      }
+      return this.takeEffects();
+    }
+    if (signal.type === 'sent') {
+      this.onSent(delivery, attempt, nowMs);
+    } else {
+      this.onEnded(delivery, attempt, signal, nowMs);
+      this.dispatchWaiting(nowMs);
+    }
+    return this.takeEffects();
+  }
+
+  /**
+   * Notes that a caller has gone. Attempts that may be dropped are cancelled.
+   *
+   * @param requestId - request of the caller
+   * @param nowMs - current instant in milliseconds
+   * @returns effects to carry out
+   */
+  onCallerGone(requestId: string, nowMs: InstantMs): readonly DeliveryEffect[] {
+    const delivery = this.deliveries.get(requestId);
+    if (delivery !== undefined && !delivery.isClosed) {
+      this.close(delivery);
+      this.cancelAttempts(delivery, nowMs);
+      this.record('caller-gone', {
+        callId: delivery.request.callId,
+        elapsedMs: Math.round(nowMs - delivery.request.arrivedMs),
+      });
+      this.forgetIfDone(delivery);
+    }
+    return this.takeEffects();
+  }
+
+  /**
+   * Acts on instants that have passed.
+   *
+   * @param nowMs - current instant in milliseconds
+   * @returns effects to carry out
+   */
+  onTimer(nowMs: InstantMs): readonly DeliveryEffect[] {
+    for (const delivery of [...this.deliveries.values()]) {
+      if (delivery.isClosed) {
+        continue;
+      }
+      if (nowMs >= delivery.finalAtMs) {
+        this.expire(delivery, nowMs);
+      } else if (this.waiting.has(delivery)) {
+        this.dispatch(delivery, nowMs);
+      } else if (nowMs >= delivery.reviewAtMs) {
+        this.review(delivery, nowMs);
+      }
+    }
+    return this.takeEffects();
+  }
+
+  /**
+   * Sends requests that wait, for example after news of targets.
+   *
+   * @param nowMs - current instant in milliseconds
+   * @returns effects to carry out
+   */
+  onNews(nowMs: InstantMs): readonly DeliveryEffect[] {
+    this.dispatchWaiting(nowMs);
+    return this.takeEffects();
+  }
+
+  private dispatchWaiting(nowMs: InstantMs): void {
+    if (this.waiting.size === 0) {
+      return;
+    }
+    const byRank = [...this.waiting].sort(
+      (a, b) =>
+        a.rule.rank - b.rule.rank || a.request.arrivedMs - b.request.arrivedMs,
+    );
+    for (const delivery of byRank) {
+      this.dispatch(delivery, nowMs);
+    }
+  }
+
+  /** Sends a request to the best target, lets it wait, or refuses it. */
+  private dispatch(delivery: Delivery, nowMs: InstantMs): void {
+    const {quarantine} = this.options;
+    this.waiting.delete(delivery);
+    if (quarantine.isQuarantined(delivery.request.fingerprint, nowMs)) {
+      this.refuse(delivery, 'quarantined', nowMs);
+      return;
+    }
+    const forecasts = this.forecastsFor(delivery, nowMs);
+    if (forecasts.length === 0) {
+      this.giveUp(delivery, 'no-target', nowMs);
+      return;
+    }
+    const choice = this.choose(delivery, forecasts, nowMs);
+    if (choice !== undefined) {
+      this.send(delivery, choice, nowMs);
+    } else if (nowMs < delivery.waitUntilMs) {
+      this.waiting.add(delivery);
+    } else {
+      this.giveUp(delivery, 'overloaded', nowMs);
+    }
+  }
+
+  private forecastsFor(
+    delivery: Delivery,
+    nowMs: InstantMs,
+  ): readonly TargetForecast[] {
+    return this.options.board.forecasts(
+      {
+        service: delivery.service,
+        workMs: this.experienceOf(delivery.rule).work.workMs,
+        excludedTargetIds: delivery.triedTargetIds,
+      },
+      nowMs,
+    );
+  }
+
+  private choose(
+    delivery: Delivery,
+    forecasts: readonly TargetForecast[],
+    nowMs: InstantMs,
+  ): TargetChoice | undefined {
+    const needs = this.needsOf(delivery, forecasts, nowMs);
+    return chooseTarget(forecasts, needs, this.options.random);
+  }
+
+  private needsOf(
+    {rule, objectiveAtMs, finalAtMs}: Delivery,
+    forecasts: readonly TargetForecast[],
+    nowMs: InstantMs,
+  ): RequestNeeds {
+    const slots = forecasts[0]?.slots ?? 1;
+    return {
+      objectiveInMs: objectiveAtMs - nowMs,
+      objectiveMs: rule.objectiveMs,
+      deadlineInMs: finalAtMs - nowMs,
+      sizeKb: this.experienceOf(rule).sizeKb,
+      maxExcessCount: Math.max(1, slots * MAX_EXCESS_SHARE),
+    };
+  }
+
+  private send(
+    delivery: Delivery,
+    {forecast, cost}: TargetChoice,
+    nowMs: InstantMs,
+  ): void {
+    const {board} = this.options;
+    const target = board.target(forecast.targetId);
+    if (target === undefined) {
+      return;
+    }
+    this.tokenCount += 1;
+    const token = `t${this.tokenCount}`;
+    const {request, rule} = delivery;
+    const attempt: DeliveryAttempt = {
+      token,
+      targetId: forecast.targetId,
+      startedMs: nowMs,
+      expectedMs: forecast.durationMs,
+      slowness: forecast.slowness,
+      sentMs: undefined,
+      verdict: 'not-run',
+      isOpen: true,
+    };
+    delivery.attempts.push(attempt);
+    delivery.triedTargetIds.push(forecast.targetId);
+    delivery.reviewAtMs = rule.idempotent
+      ? nowMs + Math.max(MIN_REVIEW_MS, forecast.durationMs * REVIEW_FACTOR)
+      : Infinity;
+    this.byToken.set(token, delivery);
+    board.onSent(forecast.targetId, nowMs);
+    this.effects.push({
+      type: 'send',
+      token,
+      requestId: request.requestId,
+      targetId: forecast.targetId,
+      host: target.host,
+      port: target.port,
+      freshness: rule.idempotent ? 'any' : 'proven',
+      maxConnections: this.maxConnections(delivery.service, nowMs),
+      deadlineMs: delivery.finalAtMs,
+    });
+    this.record('send', {
+      callId: request.callId,
+      route: rule.name,
+      routesVersion: this.table?.version ?? 0,
+      attempt: delivery.attempts.length,
+      targetId: forecast.targetId,
+      expectedMs: Math.round(forecast.durationMs),
+      loadAgeMs: finiteOr(forecast.loadAgeMs, -1),
+      failureShare: roundShare(forecast.failureShare),
+      cost: roundShare(cost),
+      waitedMs: Math.round(nowMs - request.arrivedMs),
+    });
+  }
+
+  private onSent(
+    delivery: Delivery,
+    attempt: DeliveryAttempt,
+    nowMs: InstantMs,
+  ): void {
+    if (delivery.isClosed || nowMs >= delivery.finalAtMs) {
+      this.effects.push({type: 'cancel', token: attempt.token});
+      return;
+    }
+    attempt.sentMs = nowMs;
+    attempt.verdict = 'may-have-run';
+  }
+
+  private onEnded(
+    delivery: Delivery,
+    attempt: DeliveryAttempt,
+    signal: Exclude<AttemptSignal, {readonly type: 'sent'}>,
+    nowMs: InstantMs,
+  ): void {
+    attempt.isOpen = false;
+    this.byToken.delete(attempt.token);
+    const outcome = outcomeOf(signal);
+    this.options.board.onEnded(attempt.targetId, outcome, nowMs);
+    if (signal.type === 'response') {
+      this.onResponse(delivery, attempt, signal, nowMs);
+    } else if (signal.type === 'unreachable') {
+      attempt.verdict = 'not-run';
+      delivery.lastFailure = 'unreachable';
+      this.goOn(delivery, attempt, 'unreachable', nowMs);
+    } else if (signal.type === 'lost') {
+      this.onLost(delivery, attempt, nowMs);
+    } else {
+      attempt.verdict = signal.bytesSent ? 'may-have-run' : 'not-run';
+      this.goOn(delivery, attempt, 'lost', nowMs);
+    }
+    this.forgetIfDone(delivery);
+  }
+
+  private onResponse(
+    delivery: Delivery,
+    attempt: DeliveryAttempt,
+    signal: Extract<AttemptSignal, {readonly type: 'response'}>,
+    nowMs: InstantMs,
+  ): void {
+    const {board, quarantine} = this.options;
+    const {token, targetId} = attempt;
+    if (signal.figures !== undefined) {
+      board.onSample(targetId, {...signal.figures, measuredMs: nowMs});
+    }
+    if (signal.refused) {
+      attempt.verdict = 'not-run';
+      delivery.lastFailure = 'refused';
+      this.effects.push({type: 'discard', token});
+      this.goOn(delivery, attempt, 'refused', nowMs);
+      return;
+    }
+    attempt.verdict = 'ran';
+    quarantine.onAnswered(delivery.request.fingerprint, nowMs);
+    if (delivery.isClosed) {
+      this.effects.push({type: 'discard', token});
+      return;
+    }
+    if (signal.status < 500) {
+      this.learn(delivery, attempt, nowMs);
+      this.respond(delivery, token, signal.status, nowMs);
+    } else {
+      this.onServerError(delivery, attempt, signal.status, nowMs);
+    }
+  }
+
+  /** A server error is passed on unless another target can do better. */
+  private onServerError(
+    delivery: Delivery,
+    attempt: DeliveryAttempt,
+    status: number,
+    nowMs: InstantMs,
+  ): void {
+    const {token} = attempt;
+    if (delivery.errorToken !== undefined) {
+      this.effects.push({type: 'discard', token});
+    } else {
+      delivery.errorToken = token;
+    }
+    if (delivery.openAttempts.length > 0) {
+      return;
+    }
+    if (delivery.rule.idempotent && this.resend(delivery, 0, nowMs)) {
+      this.recordEnd(delivery, attempt, 'server-error', nowMs);
+      return;
+    }
+    this.respond(delivery, delivery.errorToken, status, nowMs);
+  }
+
+  private onLost(
+    delivery: Delivery,
+    attempt: DeliveryAttempt,
+    nowMs: InstantMs,
+  ): void {
+    const {quarantine} = this.options;
+    const {fingerprint} = delivery.request;
+    delivery.lastFailure = 'lost';
+    quarantine.onCrash(attempt.targetId, [fingerprint], nowMs);
+    this.goOn(delivery, attempt, 'lost', nowMs);
+  }
+
+  /** After an attempt without a response: another one, or an answer. */
+  private goOn(
+    delivery: Delivery,
+    attempt: DeliveryAttempt,
+    reason: DeliveryReason,
+    nowMs: InstantMs,
+  ): void {
+    if (delivery.isClosed) {
+      return;
+    }
+    this.recordEnd(delivery, attempt, reason, nowMs);
+    if (delivery.openAttempts.length > 0) {
+      return;
+    }
+    const isFree = attempt.sentMs === undefined;
+    if (isFree && this.unreachableCount(delivery) < MAX_UNREACHABLE) {
+      this.dispatch(delivery, nowMs);
+      return;
+    }
+    const mayResend =
+      delivery.rule.idempotent || delivery.verdict === 'not-run';
+    if (mayResend && this.resend(delivery, 0, nowMs)) {
+      return;
+    }
+    this.giveUp(delivery, reason, nowMs);
+  }
+
+  /** Sends once more if attempts, budget and time allow. */
+  private resend(
+    delivery: Delivery,
+    reserve: number,
+    nowMs: InstantMs,
+  ): boolean {
+    const {rule, service, request} = delivery;
+    const {quarantine} = this.options;
+    if (delivery.sentCount >= rule.maxAttempts) {
+      return false;
+    }
+    if (quarantine.isQuarantined(request.fingerprint, nowMs)) {
+      return false;
+    }
+    const forecasts = this.forecastsFor(delivery, nowMs);
+    const choice = this.choose(delivery, forecasts, nowMs);
+    if (choice === undefined) {
+      return false;
+    }
+    if (choice.forecast.durationMs > delivery.finalAtMs - nowMs) {
+      return false;
+    }
+    return this.takeAndSend(delivery, choice, {service, reserve}, nowMs);
+  }
+
+  private takeAndSend(
+    delivery: Delivery,
+    choice: TargetChoice,
+    budget: {readonly service: string; readonly reserve: number},
+    nowMs: InstantMs,
+  ): boolean {
+    const fleetSize = this.options.fleetSize(nowMs);
+    const {service, reserve} = budget;
+    if (!this.budgetOf(service).tryTake({fleetSize, reserve}, nowMs)) {
+      this.record('budget-used-up', {callId: delivery.request.callId, service});
+      return false;
+    }
+    this.send(delivery, choice, nowMs);
+    return true;
+  }
+
+  /** Looks at an attempt that takes longer than forecast. */
+  private review(delivery: Delivery, nowMs: InstantMs): void {
+    delivery.reviewAtMs = nowMs + REVIEW_INTERVAL_MS;
+    const [open] = delivery.openAttempts;
+    const isAlone = delivery.openAttempts.length === 1;
+    if (open === undefined || !isAlone || !delivery.rule.idempotent) {
+      delivery.reviewAtMs = Infinity;
+      return;
+    }
+    if (delivery.sentCount >= delivery.rule.maxAttempts) {
+      delivery.reviewAtMs = Infinity;
+      return;
+    }
+    const forecasts = this.forecastsFor(delivery, nowMs);
+    const needs = this.needsOf(delivery, forecasts, nowMs);
+    const choice = chooseTarget(forecasts, needs, this.options.random);
+    if (choice === undefined || !this.isSecondSendWorthIt(choice, needs)) {
+      return;
+    }
+    const budget = {service: delivery.service, reserve: SECOND_SEND_RESERVE};
+    if (this.takeAndSend(delivery, choice, budget, nowMs)) {
+      delivery.reviewAtMs = Infinity;
+    }
+  }
+
+  /** A second send must be likely to arrive within the objective. */
+  private isSecondSendWorthIt(
+    {forecast}: TargetChoice,
+    needs: RequestNeeds,
+  ): boolean {
+    return (
+      forecast.excessCount === 0 &&
+      forecast.durationMs < needs.objectiveInMs &&
+      costOf(forecast, needs) < 0.5
+    );
+  }
+
+  private respond(
+    delivery: Delivery,
+    token: string,
+    status: number,
+    nowMs: InstantMs,
+  ): void {
+    const {requestId, callId, arrivedMs} = delivery.request;
+    this.close(delivery);
+    if (delivery.errorToken !== undefined && delivery.errorToken !== token) {
+      this.effects.push({type: 'discard', token: delivery.errorToken});
+    }
+    this.effects.push({
+      type: 'respond',
+      requestId,
+      outcome: {type: 'response', token},
+    });
+    this.record('answer', {
+      callId,
+      status,
+      attempts: delivery.attempts.length,
+      elapsedMs: Math.round(nowMs - arrivedMs),
+    });
+    this.cancelUnsent(delivery);
+    this.forgetIfDone(delivery);
+  }
+
+  /** Ends a request that cannot be sent any more. */
+  private giveUp(
+    delivery: Delivery,
+    reason: DeliveryReason,
+    nowMs: InstantMs,
+  ): void {
+    if (delivery.errorToken !== undefined) {
+      this.respond(delivery, delivery.errorToken, 500, nowMs);
+      return;
+    }
+    this.refuse(delivery, reason, nowMs);
+  }
+
+  private refuse(
+    delivery: Delivery,
+    reason: DeliveryReason,
+    nowMs: InstantMs,
+  ): void {
+    const {request, verdict} = delivery;
+    const outcome = buildRefusal(reason, verdict, this.options.random);
+    this.close(delivery);
+    this.effects.push({type: 'respond', requestId: request.requestId, outcome});
+    this.record('refuse', {
+      callId: request.callId,
+      route: delivery.rule.name,
+      reason,
+      verdict,
+      status: outcome.type === 'refusal' ? outcome.status : 0,
+      attempts: delivery.attempts.length,
+      elapsedMs: Math.round(nowMs - request.arrivedMs),
+    });
+    this.forgetIfDone(delivery);
+  }
+
+  private refuseAtOnce(
+    request: RoutedRequest,
+    reason: DeliveryReason,
+  ): readonly DeliveryEffect[] {
+    const {requestId, callId, host, path} = request;
+    const outcome = buildRefusal(reason, 'not-run', this.options.random);
+    this.effects.push({type: 'respond', requestId, outcome});
+    this.record('refuse', {
+      callId,
+      reason,
+      host,
+      path,
+      routesVersion: this.table?.version ?? 0,
+    });
+    return this.takeEffects();
+  }
+
+  /** The route's time or the caller's has passed. */
+  private expire(delivery: Delivery, nowMs: InstantMs): void {
+    const reason = delivery.isBoundByRoute ? 'timeout' : 'deadline';
+    this.giveUp(delivery, reason, nowMs);
+    this.cancelAttempts(delivery, nowMs);
+    this.forgetIfDone(delivery);
+  }
+
+  /** Cancels what nobody waits for; sent work that must not repeat goes on. */
+  private cancelAttempts(delivery: Delivery, nowMs: InstantMs): void {
+    for (const attempt of delivery.openAttempts) {
+      if (delivery.rule.idempotent || attempt.sentMs === undefined) {
+        this.withdraw(attempt, nowMs);
+      }
+    }
+  }
+
+  private cancelUnsent(delivery: Delivery): void {
+    for (const attempt of delivery.openAttempts) {
+      if (attempt.sentMs === undefined) {
+        this.effects.push({type: 'cancel', token: attempt.token});
+      }
+    }
+  }
+
+  private withdraw(attempt: DeliveryAttempt, nowMs: InstantMs): void {
+    attempt.isOpen = false;
+    this.byToken.delete(attempt.token);
+    this.options.board.onEnded(attempt.targetId, 'withdrawn', nowMs);
+    this.effects.push({type: 'cancel', token: attempt.token});
+  }
+
+  private close(delivery: Delivery): void {
+    delivery.isClosed = true;
+    delivery.reviewAtMs = Infinity;
+    this.waiting.delete(delivery);
+  }
+
+  private forgetIfDone(delivery: Delivery): void {
+    if (delivery.isClosed && delivery.openAttempts.length === 0) {
+      this.deliveries.delete(delivery.request.requestId);
+    }
+  }
+
+  private unreachableCount({attempts}: Delivery): number {
+    return attempts.filter(({sentMs}) => sentMs === undefined).length;
+  }
+
+  private learn(
+    {rule}: Delivery,
+    attempt: DeliveryAttempt,
+    nowMs: InstantMs,
+  ): void {
+    if (attempt.sentMs !== undefined) {
+      const {work} = this.experienceOf(rule);
+      work.observe(nowMs - attempt.sentMs, attempt.slowness);
+    }
+  }
+
+  /**
+   * Notes the size of a delivered answer.
+   *
+   * @param ruleName - route of the request
+   * @param sizeBytes - size of request and answer
+   */
+  onDelivered(ruleName: string, sizeBytes: number): void {
+    const experience = this.experience.get(ruleName);
+    if (experience !== undefined) {
+      const sizeKb = sizeBytes / 1024;
+      experience.sizeKb += (sizeKb - experience.sizeKb) * SIZE_GAIN;
+    }
+  }
+
+  private experienceOf(rule: RouteRule): RouteExperience {
+    let experience = this.experience.get(rule.name);
+    if (experience === undefined) {
+      const work = new WorkEstimate(rule.objectiveMs);
+      experience = {work, sizeKb: INITIAL_SIZE_KB};
+      this.experience.set(rule.name, experience);
+    }
+    return experience;
+  }
+
+  private budgetOf(service: string): WindowBudget {
+    let budget = this.budgets.get(service);
+    if (budget === undefined) {
+      budget = new WindowBudget(this.options.resendLimit);
+      this.budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  private maxConnections(service: string, nowMs: InstantMs): number {
+    const limit = this.table?.service(service)?.maxConnectionsPerTarget;
+    const share = (limit ?? 0) / this.options.fleetSize(nowMs);
+    return Math.max(MIN_CONNECTIONS, Math.floor(share));
+  }
+
+  private recordEnd(
+    delivery: Delivery,
+    attempt: DeliveryAttempt,
+    outcome: string,
+    nowMs: InstantMs,
+  ): void {
+    this.record('attempt-failed', {
+      callId: delivery.request.callId,
+      targetId: attempt.targetId,
+      outcome,
+      verdict: attempt.verdict,
+      elapsedMs: Math.round(nowMs - attempt.startedMs),
+    });
+  }
+
+  private record(name: string, details: DeliveryEvent['details']): void {
+    this.effects.push({type: 'event', event: {name, details}});
+  }
+
+  private takeEffects(): readonly DeliveryEffect[] {
+    const {effects} = this;
+    this.effects = [];
+    return effects;
+  }
+}
+
+function outcomeOf(
+  signal: Exclude<AttemptSignal, {readonly type: 'sent'}>,
+): TargetOutcome {
+  switch (signal.type) {
+    case 'response':
+      if (signal.refused) {
+        return 'refused';
+      }
+      return signal.status >= 500 ? 'failed' : 'answered';
+    case 'unreachable':
+      return 'unreachable';
+    case 'lost':
+      return 'failed';
+    case 'cancelled':
+      return 'withdrawn';
+  }
+}
+
+function finiteOr(value: number, fallback: number): number {
+  return Number.isFinite(value) ? Math.round(value) : fallback;
+}
+
+function roundShare(value: number): number {
+  return Math.round(value * 1000) / 1000;
+}
--- /dev/null
+++ b/src/delivery/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Life of requests that follow published routes.
+ *
+ * @packageDocumentation
+ */
+export {Delivery, type DeliveryAttempt} from './delivery.js';
+export {DeliveryEngine, type DeliveryEngineOptions} from './delivery_engine.js';
+export {buildRefusal} from './refusal.js';
+export type * from './types.js';
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -57,6 +57,15 @@
       readonly retryAfterSeconds: number | undefined;
     };
 
+/** Load of a target as it states it itself. */
+export interface TargetFigures {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** Time that work takes, as a multiple of the usual time. */
+  readonly slowness: number;
+}
+
 /** Step of an attempt, reported by the target adapter. */
 export type AttemptSignal =
   /**
@@ -77,6 +86,10 @@
       readonly draining: boolean;
       /** Load carried on the response; undefined if it carries none. */
       readonly inFlight: number | undefined;
+      /** Detailed load; undefined if it carries none. */
+      readonly figures?: TargetFigures | undefined;
+      /** Another target answered under the address; it did not run the work. */
+      readonly misdirected?: boolean;
     }
   /** No connection could be opened; no byte left. */
   | {readonly type: 'unreachable'}
--- /dev/null
+++ b/src/entry/composition_root.ts
@@ -0,0 +1,227 @@
+/**
+ * Builds an entry daemon from its parts.
+ *
+ * @packageDocumentation
+ */
+import 'reflect-metadata';
+import type Logger from 'bunyan';
+import {Container} from 'inversify';
+import {CallerServer, type CallerProtocol} from '../caller_http/index.js';
+import {Clock, RandomSource, SeededRandom, SystemClock} from '../core/index.js';
+import {DeliveryEngine, type RoutedRequest} from '../delivery/index.js';
+import {FleetNode} from '../fleet/index.js';
+import {LoadBoard} from '../load/index.js';
+import {DatagramLink, PublishedServer} from '../peer_datagram/index.js';
+import {CrashQuarantine, FingerprintQuarantine} from '../recovery/index.js';
+import {PublishedSource, PublishedState} from '../registry/index.js';
+import {TargetClient, type TargetProtocol} from '../target_http/index.js';
+import {START_LIMITS} from './caller_limits.js';
+import {DeliveryRunner} from './delivery_runner.js';
+import {EntryDaemon} from './entry_daemon.js';
+import {EntryMetrics} from './entry_metrics.js';
+import {EventLines} from './event_lines.js';
+import {LoadSharing} from './load_sharing.js';
+import {PublishedReader} from './published_reader.js';
+import type {EntrySettings} from './settings.js';
+import {StatusServer} from './status_server.js';
+import {TargetProber} from './target_prober.js';
+
+/**
+ * Targets at which a request was lost until it is refused everywhere. Three
+ * crashes may be chance where answers get lost; a fourth target is not risked.
+ */
+const QUARANTINE_TARGETS = 3;
+
+/** What differs between platforms. */
+export interface EntryOptions {
+  readonly settings: EntrySettings;
+  readonly callerProtocol: CallerProtocol<RoutedRequest>;
+  readonly targetProtocol: TargetProtocol;
+  readonly source: PublishedSource;
+  readonly logger: Logger;
+  /** Seed of all random choices of the process. */
+  readonly seed: number;
+}
+
+/**
+ * Builds a daemon; nothing is started.
+ *
+ * @param options - settings, protocols and the store
+ * @returns the daemon
+ */
+export function composeEntry(options: EntryOptions): EntryDaemon {
+  const container = new Container({defaultScope: 'Singleton'});
+  bindDecisions(container, options);
+  bindAdapters(container, options);
+  bindPeers(container, options);
+  container.bind(EntryDaemon).toDynamicValue(
+    ({get}) =>
+      new EntryDaemon({
+        settings: options.settings,
+        clock: get(Clock),
+        state: get(PublishedState),
+        fleet: get(FleetNode),
+        board: get(LoadBoard),
+        engine: get(DeliveryEngine),
+        runner: get(DeliveryRunner),
+        callers: get<CallerServer<RoutedRequest>>(CallerServer),
+        targets: get(TargetClient),
+        prober: get(TargetProber),
+        sharing: get(LoadSharing),
+        reader: get(PublishedReader),
+        link: get(DatagramLink),
+        published: get(PublishedServer),
+        status: get(StatusServer),
+        metrics: get(EntryMetrics),
+        lines: get(EventLines),
+      }),
+  );
+  return container.get(EntryDaemon);
+}
+
+/** Binds what decides. */
+function bindDecisions(container: Container, options: EntryOptions): void {
+  const {settings, seed} = options;
+  const {failureDomain} = settings;
+  container.bind(Clock).toDynamicValue(() => new SystemClock());
+  container.bind(RandomSource).toDynamicValue(() => new SeededRandom({seed}));
+  container.bind(PublishedState).toDynamicValue(() => new PublishedState());
+  container
+    .bind(LoadBoard)
+    .toDynamicValue(() => new LoadBoard({failureDomain}));
+  container
+    .bind(CrashQuarantine)
+    .toDynamicValue(
+      () => new FingerprintQuarantine({quarantineTargets: QUARANTINE_TARGETS}),
+    );
+  container.bind(FleetNode).toDynamicValue(
+    ({get}) =>
+      new FleetNode({
+        identity: {
+          vmId: settings.vmId,
+          bootId: Math.floor(get(RandomSource).nextFloat() * 2 ** 31),
+          host: settings.host,
+          failureDomain,
+          capacityMillicores: settings.capacityMillicores,
+        },
+        random: get(RandomSource),
+        startMs: get(Clock).nowMs(),
+      }),
+  );
+  container.bind(DeliveryEngine).toDynamicValue(({get}) => {
+    const fleet = get(FleetNode);
+    return new DeliveryEngine({
+      board: get(LoadBoard),
+      quarantine: get(CrashQuarantine),
+      random: get(RandomSource),
+      resendLimit: settings.resendLimit,
+      fleetSize: nowMs => fleet.fleetSize(nowMs),
+    });
+  });
+}
+
+/** Binds what speaks with callers, targets and operators. */
+function bindAdapters(container: Container, options: EntryOptions): void {
+  const {settings, logger} = options;
+  container.bind(EventLines).toDynamicValue(({get}) => {
+    const clock = get(Clock);
+    return new EventLines(logger, () => clock.nowMs());
+  });
+  container.bind(EntryMetrics).toDynamicValue(() => new EntryMetrics());
+  container
+    .bind(TargetClient)
+    .toDynamicValue(
+      ({get}) =>
+        new TargetClient({clock: get(Clock), protocol: options.targetProtocol}),
+    );
+  container.bind(DeliveryRunner).toDynamicValue(
+    ({get}) =>
+      new DeliveryRunner({
+        clock: get(Clock),
+        engine: get(DeliveryEngine),
+        targets: get(TargetClient),
+        metrics: get(EntryMetrics),
+        lines: get(EventLines),
+      }),
+  );
+  container.bind(CallerServer).toDynamicValue(({get}) => {
+    const runner = get(DeliveryRunner);
+    const server = new CallerServer<RoutedRequest>({
+      clock: get(Clock),
+      limits: START_LIMITS,
+      protocol: options.callerProtocol,
+      listener: runner,
+    });
+    runner.attach(server);
+    return server;
+  });
+  container.bind(TargetProber).toDynamicValue(({get}) => {
+    return new TargetProber({
+      clock: get(Clock),
+      targets: get(TargetClient),
+      board: get(LoadBoard),
+      // Looked up at each call: the daemon needs the prober to be built first.
+      routes: () => container.get(EntryDaemon).routes,
+    });
+  });
+  container.bind(StatusServer).toDynamicValue(
+    ({get}) =>
+      new StatusServer({
+        ready: settings.ready,
+        metricsPort: settings.metricsPort,
+        metrics: get(EntryMetrics),
+        isReady: () => container.get(EntryDaemon).isReady,
+      }),
+  );
+}
+
+/** Binds what speaks with peers and the store. */
+function bindPeers(container: Container, options: EntryOptions): void {
+  const {settings} = options;
+  const {host, failureDomain, maxProbesPerSecond} = settings;
+  container.bind(LoadSharing).toDynamicValue(
+    ({get}) =>
+      new LoadSharing({
+        host,
+        failureDomain,
+        fleet: get(FleetNode),
+        board: get(LoadBoard),
+        quarantine: get(CrashQuarantine),
+        maxProbesPerSecond,
+      }),
+  );
+  container.bind(PublishedReader).toDynamicValue(({get}) => {
+    const state = get(PublishedState);
+    const daemon = (): EntryDaemon => container.get(EntryDaemon);
+    return new PublishedReader({
+      source: options.source,
+      clock: get(Clock),
+      random: get(RandomSource),
+      revision: () => state.revision,
+      listener: {
+        onSnapshot: snapshot => daemon().onSnapshot(snapshot),
+        onDelta: delta => daemon().onDelta(delta),
+        onConfirmed: confirmedMs => daemon().onConfirmed(confirmedMs),
+        onFailing: (isFailing, error) => daemon().onFailing(isFailing, error),
+      },
+    });
+  });
+  container.bind(PublishedServer).toDynamicValue(({get}) => {
+    const fleet = get(FleetNode);
+    const clock = get(Clock);
+    return new PublishedServer(get(PublishedState), () =>
+      fleet.position(clock.nowMs()),
+    );
+  });
+  container.bind(DatagramLink).toDynamicValue(({get}) => {
+    const lines = get(EventLines);
+    return new DatagramLink({
+      host,
+      port: settings.peerPort,
+      listener: {
+        onMessage: message => container.get(EntryDaemon).onMessage(message),
+        onFault: reason => lines.fault('fleet', 'datagram failed', {reason}),
+      },
+    });
+  });
+}
--- /dev/null
+++ b/src/entry/index.ts
@@ -0,0 +1,9 @@
+/**
+ * The daemon of an entry VM that follows published routes.
+ *
+ * @packageDocumentation
+ */
+export {BufferedOutput} from './buffered_output.js';
+export {composeEntry, type EntryOptions} from './composition_root.js';
+export {EntryDaemon} from './entry_daemon.js';
+export type {EntrySettings, ListenAddress} from './settings.js';
--- /dev/null
+++ b/src/load/index.ts
@@ -0,0 +1,21 @@
+/**
+ * Load of targets and the choice of one.
+ *
+ * @packageDocumentation
+ */
+export {
+  chooseTarget,
+  costOf,
+  type RequestNeeds,
+  type TargetChoice,
+} from './choose_target.js';
+export {FailureShare} from './failure_share.js';
+export {
+  expectedDurationMs,
+  SPEED_PERIOD_MS,
+  type DurationInputs,
+} from './forecast.js';
+export {LoadBoard, type LoadBoardOptions} from './load_board.js';
+export {TargetRecord} from './target_record.js';
+export type {LoadSample, TargetForecast, TargetOutcome} from './types.js';
+export {WorkEstimate} from './work_estimate.js';
--- a/src/recovery/fingerprint_quarantine.ts
+++ b/src/recovery/fingerprint_quarantine.ts
@@ -7,7 +7,7 @@
 import {CrashQuarantine} from './types.js';
 
 /** Different targets at which a fingerprint is implicated until quarantine. */
-const QUARANTINE_TARGETS = 2;
+const DEFAULT_QUARANTINE_TARGETS = 2;
 
 /** Targets kept for each fingerprint; more change nothing. */
 const MAX_TARGETS = 16;
@@ -22,6 +22,8 @@
 export interface FingerprintQuarantineOptions {
   /** Fingerprints kept, 10,000 by default; the oldest are dropped first. */
   readonly maxFingerprints?: number;
+  /** Targets at which a fingerprint is implicated until quarantine, 2 by default. */
+  readonly quarantineTargets?: number;
 }
 
 interface Implication {
@@ -44,6 +46,7 @@
  */
 export class FingerprintQuarantine extends CrashQuarantine {
   private readonly maxFingerprints: number;
+  private readonly quarantineTargets: number;
   private readonly implicated = new Map<string, Implication>();
   private readonly clearedUntilMs = new Map<string, InstantMs>();
 
@@ -51,6 +54,8 @@
   constructor(options: FingerprintQuarantineOptions = {}) {
     super();
     this.maxFingerprints = options.maxFingerprints ?? 10_000;
+    this.quarantineTargets =
+      options.quarantineTargets ?? DEFAULT_QUARANTINE_TARGETS;
   }
 
   override onCrash(
@@ -88,7 +93,7 @@
 
   override isQuarantined(fingerprint: string, nowMs: InstantMs): boolean {
     const entry = this.current(fingerprint, nowMs);
-    return (entry?.targetIds.size ?? 0) >= QUARANTINE_TARGETS;
+    return (entry?.targetIds.size ?? 0) >= this.quarantineTargets;
   }
 
   override isImplicated(fingerprint: string, nowMs: InstantMs): boolean {
--- a/src/retries/index.ts
+++ b/src/retries/index.ts
@@ -11,6 +11,7 @@
   type AttemptEvent,
   type AttemptState,
 } from './attempt_chart.js';
+export {WindowBudget, type WindowLimit} from './window_budget.js';
 export {RetryBudget, type RetryCost} from './retry_budget.js';
 export {
   decideRetry,
--- /dev/null
+++ b/src/routes/index.ts
@@ -0,0 +1,14 @@
+/**
+ * Published routes and their lookup.
+ *
+ * @packageDocumentation
+ */
+export {normalizeHost, RouteTable} from './route_table.js';
+export type {
+  CallerBounds,
+  RouteConfig,
+  RouteRule,
+  ServiceRule,
+  WeightedService,
+} from './types.js';
+export {WeightedSplit} from './weighted_split.js';
--- a/src/target_http/attempt.ts
+++ b/src/target_http/attempt.ts
@@ -25,6 +25,10 @@
    * provided that another one answered meanwhile; undefined for never.
    */
   readonly silenceLimitMs: number | undefined;
+  /** Id of the target that is meant; undefined if the address suffices. */
+  readonly targetId?: string;
+  /** Id that the caller gave the request; undefined for a probe. */
+  readonly callId?: string;
 }
 
 /**
--- a/src/target_http/connection_pool.ts
+++ b/src/target_http/connection_pool.ts
@@ -7,12 +7,7 @@
 import type {InstantMs} from '../core/index.js';
 import type {Attempt} from './attempt.js';
 import {TargetConnection} from './target_connection.js';
-
-/** Age up to which an answer or the opening proves that a connection works. */
-export const PROVEN_WINDOW_MS = 1_000;
-
-/** A connection that is not established by then counts as not reachable. */
-const CONNECT_TIMEOUT_MS = 1_000;
+import type {TargetProtocol} from './target_protocol.js';
 
 /** A streamed body that does not move on for this time is given up. */
 const STALLED_BODY_LIMIT_MS = 30_000;
@@ -33,6 +28,7 @@
   readonly host: string;
   readonly port: number;
   readonly nowMs: () => InstantMs;
+  readonly protocol: TargetProtocol;
 }
 
 /**
@@ -50,7 +46,7 @@
   private crashTest: Promise<boolean> | undefined;
   private lastUsedMs: InstantMs;
 
-  /** @param options - address and clock */
+  /** @param options - address, clock and protocol */
   constructor(private readonly options: ConnectionPoolOptions) {
     const host = options.host.includes(':')
       ? `[${options.host}]`
@@ -64,6 +60,10 @@
     return this.connections.size + this.connecting;
   }
 
+  private get provenWindowMs(): number {
+    return this.options.protocol.timing.provenWindowMs;
+  }
+
   /** Instant of the last send. */
   get usedMs(): InstantMs {
     return this.lastUsedMs;
@@ -143,7 +143,10 @@
       if (connection === undefined || !connection.usable) {
         continue;
       }
-      if (freshness === 'any' || connection.isProven(nowMs, PROVEN_WINDOW_MS)) {
+      if (
+        freshness === 'any' ||
+        connection.isProven(nowMs, this.provenWindowMs)
+      ) {
         this.idle.splice(i, 1);
         return connection;
       }
@@ -181,12 +184,12 @@
 
   private connectSocket(): Promise<ConnectResult> {
     return new Promise(resolve => {
-      const {host, port} = this.options;
+      const {host, port, protocol} = this.options;
       const socket = connect({host, port, noDelay: true});
       const timer = setTimeout(() => {
         socket.destroy();
         resolve({type: 'failed', refused: false});
-      }, CONNECT_TIMEOUT_MS);
+      }, protocol.timing.connectTimeoutMs);
       const onError = (error: NodeJS.ErrnoException): void => {
         clearTimeout(timer);
         socket.destroy();
@@ -213,6 +216,7 @@
       socket,
       origin: this.origin,
       nowMs: this.options.nowMs,
+      protocol: this.options.protocol,
       listener: {
         onReleased: released => this.assign(released, true),
         onClosed: (closed, open) => this.onClosed(closed, open),
@@ -243,12 +247,10 @@
       attempt.finish({type: 'cancelled', bytesSent: false});
       return;
     }
+    const {request} = attempt;
     connection.send(attempt, [
-      ...attempt.request.headers,
-      'x-timeout-ms',
-      String(Math.max(1, Math.floor(remainingMs))),
-      'x-request-token',
-      attempt.request.token,
+      ...request.headers,
+      ...this.options.protocol.attemptHeaders(request, remainingMs),
     ]);
   }
 
@@ -265,6 +267,11 @@
       this.resubmitUnsent(open);
       return;
     }
+    if (!this.options.protocol.timing.testsCrashes) {
+      open.finish({type: 'lost', crashed: false});
+      this.openForWaiting();
+      return;
+    }
     void this.testCrash().then(crashed => {
       open.finish({type: 'lost', crashed});
     });
@@ -325,7 +332,7 @@
     this.drop(connection);
     // Other connections of the same age may have gone silent as well.
     for (const other of [...this.idle]) {
-      if (!other.isProven(nowMs, PROVEN_WINDOW_MS)) {
+      if (!other.isProven(nowMs, this.provenWindowMs)) {
         this.drop(other);
       }
     }
--- a/src/target_http/index.ts
+++ b/src/target_http/index.ts
@@ -20,13 +20,18 @@
  * @packageDocumentation
  */
 export type {AttemptRequest, SignalListener} from './attempt.js';
-export {PROVEN_WINDOW_MS} from './connection_pool.js';
+export {OwnTargetProtocol, PROVEN_WINDOW_MS} from './own_target_protocol.js';
 export {
   TargetClient,
   type SendOptions,
   type TargetAddress,
 } from './target_client.js';
 export {MAX_BUFFERED_BYTES} from './target_connection.js';
+export {
+  TargetProtocol,
+  type CarriedReport,
+  type ConnectionTiming,
+} from './target_protocol.js';
 export {
   TargetResponse,
   type BodySink,
--- a/src/target_http/load_headers.ts
+++ b/src/target_http/load_headers.ts
@@ -5,15 +5,7 @@
  */
 import {z} from 'zod';
 import type {HeaderFields} from '../caller_http/hop_headers.js';
-
-/** What a response says about the target itself. */
-export interface CarriedReport {
-  /** Explicit refusal: the target did not start the work. */
-  readonly refused: boolean;
-  readonly draining: boolean;
-  /** Requests in flight at the target; undefined if not stated. */
-  readonly inFlight: number | undefined;
-}
+import type {CarriedReport} from './target_protocol.js';
 
 /** Status of an explicit refusal. */
 const REFUSAL_STATUS = 503;
--- a/src/target_http/target_client.ts
+++ b/src/target_http/target_client.ts
@@ -8,6 +8,8 @@
 import {Attempt, type AttemptRequest, type SignalListener} from './attempt.js';
 import {ConnectionPool} from './connection_pool.js';
 import {readLoadBody} from './load_headers.js';
+import {OwnTargetProtocol} from './own_target_protocol.js';
+import type {TargetProtocol} from './target_protocol.js';
 import type {TargetResponse} from './target_response.js';
 
 /** A probe that takes longer gives no report. */
@@ -43,13 +45,21 @@
  */
 export class TargetClient {
   private readonly clock: Clock;
+  private readonly protocol: TargetProtocol;
   private readonly pools = new Map<string, ConnectionPool>();
   private readonly attempts = new Map<string, OpenAttempt>();
   private probeCount = 0;
 
-  /** @param options - `clock`: source of instants */
-  constructor(options: {readonly clock: Clock}) {
+  /**
+   * @param options - `clock`: source of instants; `protocol`: what is spoken
+   *     with targets, the product's own by default
+   */
+  constructor(options: {
+    readonly clock: Clock;
+    readonly protocol?: TargetProtocol;
+  }) {
     this.clock = options.clock;
+    this.protocol = options.protocol ?? new OwnTargetProtocol();
   }
 
   /** Number of connections, those being opened included. */
@@ -152,6 +162,7 @@
         host: target.host,
         port: target.port,
         nowMs: () => this.clock.nowMs(),
+        protocol: this.protocol,
       });
       this.pools.set(key, pool);
     }
--- a/src/target_http/target_connection.ts
+++ b/src/target_http/target_connection.ts
@@ -12,15 +12,12 @@
 import type {InstantMs} from '../core/index.js';
 import type {HeaderFields} from '../caller_http/hop_headers.js';
 import type {Attempt} from './attempt.js';
-import {readCarriedReport} from './load_headers.js';
+import type {TargetProtocol} from './target_protocol.js';
 import {TargetResponse} from './target_response.js';
 
 /** Bodies up to this size are buffered whole; the rest is streamed. */
 export const MAX_BUFFERED_BYTES = 1024 * 1024;
 
-/** Idle connections are closed after this time. */
-const IDLE_TIMEOUT_MS = 30_000;
-
 /** A connection that waited this long before its first request is old. */
 const OLD_CONNECTION_MS = 1_000;
 
@@ -42,6 +39,7 @@
   /** Origin such as `http://10.0.0.7:8080`. */
   readonly origin: string;
   readonly nowMs: () => InstantMs;
+  readonly protocol: TargetProtocol;
   readonly listener: ConnectionListener;
 }
 
@@ -53,6 +51,7 @@
   private readonly socket: Socket;
   private readonly client: Client;
   private readonly nowMs: () => InstantMs;
+  private readonly protocol: TargetProtocol;
   private readonly listener: ConnectionListener;
   private current: Attempt | undefined;
   private streaming: TargetResponse | undefined;
@@ -63,10 +62,11 @@
   private socketHandedOver = false;
   private bytesReadAtSend = 0;
 
-  /** @param options - socket, origin, clock and listener */
+  /** @param options - socket, origin, clock, protocol and listener */
   constructor(options: ConnectionOptions) {
     this.socket = options.socket;
     this.nowMs = options.nowMs;
+    this.protocol = options.protocol;
     this.listener = options.listener;
     this.openedMs = options.nowMs();
     // Registered before undici's listeners, so the state is known first.
@@ -164,12 +164,13 @@
   }
 
   private createClient(origin: string): Client {
+    const {idleTimeoutMs} = this.protocol.timing;
     return new Client(origin, {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
-      keepAliveTimeout: IDLE_TIMEOUT_MS,
-      keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
+      keepAliveTimeout: idleTimeoutMs,
+      keepAliveMaxTimeout: idleTimeoutMs,
       maxHeaderSize: MAX_RESPONSE_HEAD_BYTES,
       // undici does not go on if the callback comes before the call returns.
       connect: (_options, callback) =>
@@ -200,16 +201,16 @@
         if (status < 200) {
           return;
         }
-        response = new TargetResponse(
-          attempt.request.token,
-          status,
-          decodeHeaders(controller.rawHeaders),
-          {
-            pause: () => controller.pause(),
-            resume: () => controller.resume(),
-            abort: () => this.reportClosed(),
-          },
-        );
+        const headers = decodeHeaders(controller.rawHeaders);
+        if (!this.protocol.accepts(attempt.request, status, headers)) {
+          this.reportClosed();
+          return;
+        }
+        response = new TargetResponse(attempt.request.token, status, headers, {
+          pause: () => controller.pause(),
+          resume: () => controller.resume(),
+          abort: () => this.reportClosed(),
+        });
       },
       onResponseData: (_controller, chunk) => {
         if (response !== undefined) {
@@ -276,11 +277,9 @@
   }
 
   private report(attempt: Attempt, response: TargetResponse): void {
-    const carried = readCarriedReport(response.status, response.headers);
-    attempt.finish(
-      {type: 'response', status: response.status, ...carried},
-      response,
-    );
+    const {status, headers} = response;
+    const carried = this.protocol.readReport(status, headers);
+    attempt.finish({type: 'response', status, ...carried}, response);
   }
 
   private onSocketClosed(): void {
