--- a/src/delivery/delivery_engine_test.ts
+++ b/src/delivery/delivery_engine_test.ts
@@ -80,6 +80,14 @@
     this.board.syncTargets(targets);
   }
 
+  /** All targets state that they are idle. */
+  sampleAll(): void {
+    for (let index = 0; index < 4; index += 1) {
+      const load = {running: 0, waiting: 0, slots: 2, slowness: 1};
+      this.board.onSample(`x${index}`, {...load, measuredMs: this.nowMs});
+    }
+  }
+
   request(rule: RouteRule, overrides: Partial<RoutedRequest> = {}): string {
     this.requestCount += 1;
     const requestId = `r${this.requestCount}`;
@@ -365,13 +373,11 @@
 test('an unanswered read is sent to a second target while there is time', () => {
   // Guards against reads that wait for a target that hangs.
   const bench = new Bench();
+  bench.sampleAll();
   const id = bench.request(SAFE);
   bench.signal(bench.sends[0]!.token, {type: 'sent'});
   bench.pass(150);
-  for (const targetId of ['x0', 'x1', 'x2', 'x3']) {
-    const load = {running: 0, waiting: 0, slots: 2, slowness: 1};
-    bench.board.onSample(targetId, {...load, measuredMs: bench.nowMs});
-  }
+  bench.sampleAll();
   bench.pass(100);
   assert.equal(bench.sends.length, 2);
   bench.end(bench.sends[1], answer(200));
--- a/src/entry/composition_root.ts
+++ b/src/entry/composition_root.ts
@@ -41,6 +41,8 @@
   readonly logger: Logger;
   /** Seed of all random choices of the process. */
   readonly seed: number;
+  /** Ends the process; called once a planned stop is complete. */
+  readonly exit: () => void;
 }
 
 /**
@@ -74,6 +76,7 @@
         status: get(StatusServer),
         metrics: get(EntryMetrics),
         lines: get(EventLines),
+        exit: options.exit,
       }),
   );
   return container.get(EntryDaemon);
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -83,6 +83,8 @@
   readonly status: StatusServer;
   readonly metrics: EntryMetrics;
   readonly lines: EventLines;
+  /** Ends the process; called once a planned stop is complete. */
+  readonly exit: () => void;
 }
 
 /** Runs the parts and decides on the life of the VM. */
@@ -92,6 +94,8 @@
   private tickCount = 0;
   private clockDriftMs: number | undefined;
   private isFetching = false;
+  private hasEnded = false;
+  private readonly timers: NodeJS.Timeout[] = [];
   private lastHeads: HeadView | undefined;
   private lastView = '';
 
@@ -128,7 +132,7 @@
     await status.listen();
     await published.listen(settings.host, settings.peerPort);
     await callers.listen(settings.caller);
-    setInterval(() => this.tick(), TICK_MS);
+    this.timers.push(setInterval(() => this.tick(), TICK_MS));
     lines.state('process', 'started', {
       vmId: settings.vmId,
       failureDomain: settings.failureDomain,
@@ -198,27 +202,46 @@
     fleet.setState('leaving');
     this.sendAll(fleet.announce(clock.nowMs()));
     callers.beginDrain();
-    setTimeout(() => this.stopListening(), STOP_LISTENING_MS);
+    this.timers.push(setTimeout(() => this.stopListening(), STOP_LISTENING_MS));
     const {stopGraceMs} = this.parts.settings;
-    setTimeout(() => this.end(), stopGraceMs - STOP_MARGIN_MS);
+    this.timers.push(
+      setTimeout(() => this.end(), stopGraceMs - STOP_MARGIN_MS),
+    );
   }
 
   private stopListening(): void {
     this.parts.callers.stopListening();
     this.parts.callers.closeIdle();
     this.parts.lines.state('process', 'stopped listening');
-    setInterval(() => {
+    const check = (): void => {
       const {engine, callers} = this.parts;
       if (engine.openCount === 0 && callers.openCount === 0) {
         this.end();
       }
-    }, STOP_CHECK_MS);
+    };
+    this.timers.push(setInterval(check, STOP_CHECK_MS));
+  }
+
+  /** Closes all ports and connections at once. */
+  close(): void {
+    this.hasEnded = true;
+    this.timers.forEach(timer => clearInterval(timer));
+    this.parts.reader.setActive(false);
+    this.parts.callers.destroy();
+    this.parts.targets.close();
+    this.parts.link.close();
+    this.parts.published.close();
+    this.parts.status.close();
   }
 
   private end(): void {
     const {engine, lines} = this.parts;
+    if (this.hasEnded) {
+      return;
+    }
+    this.close();
     lines.state('process', 'ended', {openRequests: engine.openCount});
-    process.exit(0);
+    this.parts.exit();
   }
 
   private tick(): void {
