Limit each VM to its share of a busy service

Change: the load of the whole service, which changes slowly, decides whether a VM keeps to its equal share of 85 % of the slots; unsafe requests go to targets with a free slot only; requests wait in the VM instead.

--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -15,6 +15,7 @@
   type TargetForecast,
   type TargetOutcome,
 } from '../load/index.js';
+import {fleetShareLimit} from '../limits/index.js';
 import type {CrashQuarantine} from '../recovery/index.js';
 import {WindowBudget, type WindowLimit} from '../retries/index.js';
 import {
@@ -52,8 +53,8 @@
 /** Connections that cannot be opened for one request until it is given up. */
 const MAX_UNREACHABLE = 6;
 
-/** Requests that may wait at a target, as a share of its slots. */
-const MAX_EXCESS_SHARE = 0.7;
+/** Idempotent requests that may wait at a target in excess of its slots. */
+const MAX_EXCESS_COUNT = 1;
 
 /** Size that requests of a route are assumed to have before any answer. */
 const INITIAL_SIZE_KB = 2;
@@ -294,7 +295,9 @@
       this.giveUp(delivery, 'no-target', nowMs);
       return;
     }
-    const choice = this.choose(delivery, forecasts, nowMs);
+    const choice = this.hasRoom(delivery.service, nowMs)
+      ? this.choose(delivery, forecasts, nowMs)
+      : undefined;
     if (choice !== undefined) {
       this.send(delivery, choice, nowMs);
     } else if (nowMs < delivery.waitUntilMs) {
@@ -304,6 +307,14 @@
     }
   }
 
+  /** False while this VM has its share of a busy service in flight. */
+  private hasRoom(service: string, nowMs: InstantMs): boolean {
+    const {board, fleetSize} = this.options;
+    const load = board.serviceLoad(service, nowMs);
+    const limit = fleetShareLimit(load, fleetSize(nowMs));
+    return board.ownInFlight(service) < limit;
+  }
+
   private forecastsFor(
     delivery: Delivery,
     nowMs: InstantMs,
@@ -323,22 +334,21 @@
     forecasts: readonly TargetForecast[],
     nowMs: InstantMs,
   ): TargetChoice | undefined {
-    const needs = this.needsOf(delivery, forecasts, nowMs);
+    const needs = this.needsOf(delivery, nowMs);
     return chooseTarget(forecasts, needs, this.options.random);
   }
 
   private needsOf(
     {rule, objectiveAtMs, finalAtMs}: Delivery,
-    forecasts: readonly TargetForecast[],
     nowMs: InstantMs,
   ): RequestNeeds {
-    const slots = forecasts[0]?.slots ?? 1;
     return {
       objectiveInMs: objectiveAtMs - nowMs,
       objectiveMs: rule.objectiveMs,
       deadlineInMs: finalAtMs - nowMs,
       sizeKb: this.experienceOf(rule).sizeKb,
-      maxExcessCount: Math.max(1, slots * MAX_EXCESS_SHARE),
+      // Full targets may break off; work that must not repeat is then lost.
+      maxExcessCount: rule.idempotent ? MAX_EXCESS_COUNT : 0,
     };
   }
 
@@ -584,7 +594,7 @@
       return;
     }
     const forecasts = this.forecastsFor(delivery, nowMs);
-    const needs = this.needsOf(delivery, forecasts, nowMs);
+    const needs = this.needsOf(delivery, nowMs);
     const choice = chooseTarget(forecasts, needs, this.options.random);
     if (choice === undefined || !this.isSecondSendWorthIt(choice, needs)) {
       return;
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -59,7 +59,7 @@
 const STOP_LISTENING_MS = 3_400;
 
 /** Time before the end of the grace at which the process ends at the latest. */
-const STOP_MARGIN_MS = 300;
+const STOP_MARGIN_MS = 500;
 
 /** Interval at which a leaving VM looks whether all requests have ended. */
 const STOP_CHECK_MS = 50;
--- a/src/load/choose_target.ts
+++ b/src/load/choose_target.ts
@@ -16,7 +16,7 @@
 const TIME_COST = 0.05;
 
 /** Cost of a kilobyte that passes between failure domains. */
-const CROSS_DOMAIN_COST_PER_KB = 0.02;
+const CROSS_DOMAIN_COST_PER_KB = 0.03;
 
 /** Choices whose costs differ by less count as equal. */
 const COST_TOLERANCE = 0.02;
--- a/src/load/forecast.ts
+++ b/src/load/forecast.ts
@@ -14,7 +14,7 @@
 const FULL_SHARE = 0.8;
 
 /** Factor of the duration at targets that are nearly full. */
-const FULL_FACTOR = 1.3;
+const FULL_FACTOR = 1.5;
 
 /** Factor of the duration at targets that have just started. */
 const COLD_FACTOR = 2;
--- a/src/load/load_board.ts
+++ b/src/load/load_board.ts
@@ -5,6 +5,7 @@
  */
 import type {InstantMs} from '../core/index.js';
 import type {OutcomeCount, TargetObservation} from '../fleet/index.js';
+import type {ServiceLoad} from '../limits/index.js';
 import type {KnownTarget} from '../registry/index.js';
 import {expectedDurationMs} from './forecast.js';
 import {TargetRecord} from './target_record.js';
@@ -16,6 +17,9 @@
 /** Weight of one report in the mean. */
 const MEAN_GAIN = 0.01;
 
+/** Targets that fail more often do not count as capacity. */
+const MAX_FAILURE_SHARE = 0.7;
+
 /** Options of {@link LoadBoard}. */
 export interface LoadBoardOptions {
   readonly failureDomain: string;
@@ -87,6 +91,31 @@
     return (this.byService.get(service) ?? []).map(({target}) => target);
   }
 
+  /**
+   * Sums the load of a service.
+   *
+   * @param service - name of the service
+   * @param nowMs - current instant in milliseconds
+   * @returns slots and requests of all VMs
+   */
+  serviceLoad(service: string, nowMs: InstantMs): ServiceLoad {
+    let slotCount = 0;
+    let inFlightCount = 0;
+    for (const record of this.byService.get(service) ?? []) {
+      if (record.failureShare(nowMs) < MAX_FAILURE_SHARE) {
+        slotCount += record.target.slots;
+        inFlightCount += record.inFlight(nowMs);
+      }
+    }
+    return {slotCount, inFlightCount};
+  }
+
+  /** Requests of this VM at a service. */
+  ownInFlight(service: string): number {
+    const records = this.byService.get(service) ?? [];
+    return records.reduce((sum, record) => sum + record.ownInFlight, 0);
+  }
+
   /** Notes that an attempt was handed to the connections of a target. */
   onSent(targetId: string, nowMs: InstantMs): void {
     this.records.get(targetId)?.onSent(nowMs);
--- a/src/load/target_record.ts
+++ b/src/load/target_record.ts
@@ -16,7 +16,7 @@
 const UNREACHABLE_MS = 1_500;
 
 /** A reported load loses half of its weight in this time. */
-const LOAD_HALF_LIFE_MS = 700;
+const LOAD_HALF_LIFE_MS = 1_500;
 
 /** Share of failures that an unreachable target is assumed to have. */
 const UNREACHABLE_SHARE = 0.95;
