--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -33,7 +33,7 @@
 } from './types.js';
 
 /** Part of the objective for which a request may wait for a free target. */
-const MAX_WAIT_SHARE = 1 / 8;
+const MAX_WAIT_SHARE = 0.4;
 
 /** Multiple of the forecast after which an unanswered attempt is looked at. */
 const REVIEW_FACTOR = 1.4;
