Steer the share of a busy service by its load

Change: all VMs move the same factor of their equal shares until the service's load is 0.9; the wait leaves time for the work; time counts more among targets that are all in time or all late.

--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -15,7 +15,7 @@
   type TargetForecast,
   type TargetOutcome,
 } from '../load/index.js';
-import {fleetShareLimit} from '../limits/index.js';
+import {FleetShare} from '../limits/index.js';
 import type {CrashQuarantine} from '../recovery/index.js';
 import {WindowBudget, type WindowLimit} from '../retries/index.js';
 import {
@@ -32,7 +32,8 @@
   RoutedRequest,
 } from './types.js';
 
-/** Part of the objective for which a request may wait for a free target. */
+/** Parts of the objective for which a request may wait for a free target. */
+const MIN_WAIT_SHARE = 1 / 8;
 const MAX_WAIT_SHARE = 0.4;
 
 /** Multiple of the forecast after which an unanswered attempt is looked at. */
@@ -53,7 +54,7 @@
 /** Connections that cannot be opened for one request until it is given up. */
 const MAX_UNREACHABLE = 6;
 
-/** Idempotent requests that may wait at a target in excess of its slots. */
+/** Requests that may wait at a target in excess of its slots. */
 const MAX_EXCESS_COUNT = 1;
 
 /** Size that requests of a route are assumed to have before any answer. */
@@ -102,6 +103,7 @@
   private readonly waiting = new Set<Delivery>();
   private readonly experience = new Map<string, RouteExperience>();
   private readonly budgets = new Map<string, WindowBudget>();
+  private readonly shares = new Map<string, FleetShare>();
   private effects: DeliveryEffect[] = [];
   private tokenCount = 0;
 
@@ -176,7 +178,7 @@
       return this.refuseAtOnce(request, 'quarantined');
     }
     const delivery = new Delivery(request, rule, service, {
-      maxWaitMs: rule.objectiveMs * MAX_WAIT_SHARE,
+      maxWaitMs: this.maxWaitMs(rule),
     });
     this.deliveries.set(request.requestId, delivery);
     this.budgetOf(service).onRequest(nowMs);
@@ -269,6 +271,14 @@
     return this.takeEffects();
   }
 
+  /** A request that waits longer than this would be answered too late. */
+  private maxWaitMs(rule: RouteRule): number {
+    const {objectiveMs} = rule;
+    const spareMs = objectiveMs - this.experienceOf(rule).work.workMs;
+    const leastMs = objectiveMs * MIN_WAIT_SHARE;
+    return Math.min(objectiveMs * MAX_WAIT_SHARE, Math.max(leastMs, spareMs));
+  }
+
   private dispatchWaiting(nowMs: InstantMs): void {
     if (this.waiting.size === 0) {
       return;
@@ -311,7 +321,12 @@
   private hasRoom(service: string, nowMs: InstantMs): boolean {
     const {board, fleetSize} = this.options;
     const load = board.serviceLoad(service, nowMs);
-    const limit = fleetShareLimit(load, fleetSize(nowMs));
+    let share = this.shares.get(service);
+    if (share === undefined) {
+      share = new FleetShare();
+      this.shares.set(service, share);
+    }
+    const limit = share.limit(load, fleetSize(nowMs), nowMs);
     return board.ownInFlight(service) < limit;
   }
 
@@ -347,8 +362,7 @@
       objectiveMs: rule.objectiveMs,
       deadlineInMs: finalAtMs - nowMs,
       sizeKb: this.experienceOf(rule).sizeKb,
-      // Full targets may break off; work that must not repeat is then lost.
-      maxExcessCount: rule.idempotent ? MAX_EXCESS_COUNT : 0,
+      maxExcessCount: MAX_EXCESS_COUNT,
     };
   }
 
@@ -636,6 +650,7 @@
     this.record('answer', {
       callId,
       status,
+      targetId: this.targetOf(delivery, token),
       attempts: delivery.attempts.length,
       elapsedMs: Math.round(nowMs - arrivedMs),
     });
@@ -643,6 +658,11 @@
     this.forgetIfDone(delivery);
   }
 
+  private targetOf(delivery: Delivery, token: string): string {
+    const attempt = delivery.attempts.find(each => each.token === token);
+    return attempt?.targetId ?? '';
+  }
+
   /** Ends a request that cannot be sent any more. */
   private giveUp(
     delivery: Delivery,
--- a/src/limits/fleet_share.ts
+++ b/src/limits/fleet_share.ts
@@ -3,21 +3,20 @@
  *
  * @packageDocumentation
  */
+import type {InstantMs} from '../core/index.js';
 
-/**
- * Requests in flight for each slot, when VMs keep to equal shares. More than
- * one, since demand differs between VMs and some leave their share unused.
- */
-const REQUESTS_PER_SLOT = 1.4;
+/** Load that is aimed at under overload, as a share of all slots. */
+const AIMED_LOAD = 0.9;
 
-/** Load of the service, as a share of its slots, below which no VM is limited. */
-const RELAXED_LOAD = 0.85;
+/** Relative change of the limit for each second and unit of load. */
+const GAIN_PER_SECOND = 4;
 
-/** Load from which on each VM keeps to its equal share. */
-const TIGHT_LOAD = 1.05;
+/** Bounds of the limit, in equal shares. */
+const MIN_FACTOR = 0.8;
+const MAX_FACTOR = 8;
 
-/** Equal shares that one VM may have between the two loads. */
-const RELAXED_FACTOR = 1.8;
+/** Longer pauses between two updates count as this time. */
+const MAX_STEP_MS = 200;
 
 /** State of a service as one VM knows it. */
 export interface ServiceLoad {
@@ -28,22 +27,32 @@
 }
 
 /**
- * Computes how many requests a VM may have in flight. Reports of single targets
- * are outdated as soon as they arrive at peak load, while the load of the whole
- * service changes slowly; so the sum decides who is limited, and equal shares
- * keep the sum near the slots without messages.
- *
- * @param load - load of the service
- * @param fleetSize - upper bound of the number of VMs
- * @returns greatest number of requests, at least 1; infinite for no limit
+ * Reports of single targets are outdated as soon as they arrive at peak load,
+ * while the load of the whole service changes slowly and all VMs know nearly
+ * the same. So all of them move the same factor of their equal shares until the
+ * load is as aimed at; VMs with more callers use what others leave.
  */
-export function fleetShareLimit(load: ServiceLoad, fleetSize: number): number {
-  const share = load.inFlightCount / Math.max(1, load.slotCount);
-  if (share < RELAXED_LOAD) {
-    return Infinity;
+export class FleetShare {
+  private factor = MAX_FACTOR;
+  private updatedMs: InstantMs | undefined;
+
+  /**
+   * Computes how many requests this VM may have in flight.
+   *
+   * @param load - load of the service
+   * @param fleetSize - upper bound of the number of VMs
+   * @param nowMs - current instant in milliseconds
+   * @returns greatest number of requests, at least 1
+   */
+  limit(load: ServiceLoad, fleetSize: number, nowMs: InstantMs): number {
+    const slotCount = Math.max(1, load.slotCount);
+    const stepMs = Math.min(nowMs - (this.updatedMs ?? nowMs), MAX_STEP_MS);
+    this.updatedMs = nowMs;
+    const missing = AIMED_LOAD - load.inFlightCount / slotCount;
+    const change = Math.exp((GAIN_PER_SECOND * missing * stepMs) / 1000);
+    const factor = this.factor * change;
+    this.factor = Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, factor));
+    const equalShare = slotCount / Math.max(1, fleetSize);
+    return Math.max(1, Math.round(equalShare * this.factor));
   }
-  const equalShare =
-    (load.slotCount * REQUESTS_PER_SLOT) / Math.max(1, fleetSize);
-  const factor = share < TIGHT_LOAD ? RELAXED_FACTOR : 1;
-  return Math.max(1, Math.round(equalShare * factor));
 }
--- a/src/limits/index.ts
+++ b/src/limits/index.ts
@@ -5,7 +5,7 @@
  */
 export {canFinish, chooseRejected, type AdmissionOptions} from './admission.js';
 export {connectionShare} from './connection_share.js';
-export {fleetShareLimit, type ServiceLoad} from './fleet_share.js';
+export {FleetShare, type ServiceLoad} from './fleet_share.js';
 export {longLaneTargets} from './long_lane.js';
 export {
   RequestQueue,
--- a/src/load/choose_target.ts
+++ b/src/load/choose_target.ts
@@ -12,8 +12,8 @@
 /** Steepness of the transition around the midpoint. */
 const LATE_STEEPNESS = 8;
 
-/** Small cost of time, so that of two safe choices the faster one wins. */
-const TIME_COST = 0.05;
+/** Cost of the whole objective in time; decides where all are in time or late. */
+const TIME_COST = 0.2;
 
 /** Cost of a kilobyte that passes between failure domains. */
 const CROSS_DOMAIN_COST_PER_KB = 0.03;
