Ask targets for their load before a request is sent

Change: the three best targets are asked first, within a budget of probes and 8 ms at most; heads probe and share tables each 200 ms instead of 140. Ruled out: a wrong estimate of the work, whose median is met by young loads.

--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -34,6 +34,8 @@
   readonly isBoundByRoute: boolean;
   /** Instant until which the request may wait for a free target. */
   waitUntilMs: InstantMs;
+  /** Instant until which the loads of targets are awaited; undefined before. */
+  askedUntilMs: InstantMs | undefined;
   /** Instant of the next look at an unanswered attempt. */
   reviewAtMs: InstantMs = Infinity;
   /** True once the caller was answered or has gone. */
--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -8,6 +8,7 @@
 import {
   chooseTarget,
   costOf,
+  rankTargets,
   WorkEstimate,
   type LoadBoard,
   type RequestNeeds,
@@ -54,6 +55,15 @@
 /** Connections that cannot be opened for one request until it is given up. */
 const MAX_UNREACHABLE = 6;
 
+/** Targets that are asked for their load before a request is sent. */
+const ASKED_COUNT = 3;
+
+/** A load up to this age is used without asking. */
+const FRESH_LOAD_MS = 20;
+
+/** Time for targets to state their load; within a failure domain it takes 1 ms. */
+const ASK_TIMEOUT_MS = 8;
+
 /** Requests that may wait at a target in excess of its slots. */
 const MAX_EXCESS_COUNT = 1;
 
@@ -74,6 +84,8 @@
   readonly resendLimit: WindowLimit;
   /** Upper bound of the number of VMs. */
   readonly fleetSize: (nowMs: InstantMs) => number;
+  /** Budget of probes; takes as many as are wanted, or none. */
+  readonly takeProbes: (count: number, nowMs: InstantMs) => boolean;
 }
 
 /** What is learned of the requests of a route. */
@@ -101,6 +113,7 @@
   private readonly deliveries = new Map<string, Delivery>();
   private readonly byToken = new Map<string, Delivery>();
   private readonly waiting = new Set<Delivery>();
+  private readonly asking = new Set<Delivery>();
   private readonly experience = new Map<string, RouteExperience>();
   private readonly budgets = new Map<string, WindowBudget>();
   private readonly shares = new Map<string, FleetShare>();
@@ -143,6 +156,9 @@
         if (this.waiting.has(delivery)) {
           next = Math.min(next, delivery.waitUntilMs);
         }
+        if (this.asking.has(delivery)) {
+          next = Math.min(next, delivery.askedUntilMs ?? Infinity);
+        }
       }
     }
     return next;
@@ -217,6 +233,21 @@
     return this.takeEffects();
   }
 
+  /**
+   * Notes that the targets asked for a request have stated their load.
+   *
+   * @param requestId - request of the `ask` effect
+   * @param nowMs - current instant in milliseconds
+   * @returns effects to carry out
+   */
+  onAsked(requestId: string, nowMs: InstantMs): readonly DeliveryEffect[] {
+    const delivery = this.deliveries.get(requestId);
+    if (delivery !== undefined && this.asking.delete(delivery)) {
+      this.dispatch(delivery, nowMs);
+    }
+    return this.takeEffects();
+  }
+
   /**
    * Notes that a caller has gone. Attempts that may be dropped are cancelled.
    *
@@ -251,6 +282,11 @@
       }
       if (nowMs >= delivery.finalAtMs) {
         this.expire(delivery, nowMs);
+      } else if (this.asking.has(delivery)) {
+        if (nowMs >= (delivery.askedUntilMs ?? nowMs)) {
+          this.asking.delete(delivery);
+          this.dispatch(delivery, nowMs);
+        }
       } else if (this.waiting.has(delivery)) {
         this.dispatch(delivery, nowMs);
       } else if (nowMs >= delivery.reviewAtMs) {
@@ -305,7 +341,11 @@
       this.giveUp(delivery, 'no-target', nowMs);
       return;
     }
-    const choice = this.hasRoom(delivery.service, nowMs)
+    const hasRoom = this.hasRoom(delivery.service, nowMs);
+    if (hasRoom && this.ask(delivery, forecasts, nowMs)) {
+      return;
+    }
+    const choice = hasRoom
       ? this.choose(delivery, forecasts, nowMs)
       : undefined;
     if (choice !== undefined) {
@@ -317,6 +357,31 @@
     }
   }
 
+  /** Asks the best targets for their load unless it is known well enough. */
+  private ask(
+    delivery: Delivery,
+    forecasts: readonly TargetForecast[],
+    nowMs: InstantMs,
+  ): boolean {
+    if (delivery.askedUntilMs !== undefined || forecasts.length === 1) {
+      return false;
+    }
+    const needs = this.needsOf(delivery, nowMs);
+    const targetIds = rankTargets(forecasts, needs)
+      .slice(0, ASKED_COUNT)
+      .filter(({forecast}) => forecast.loadAgeMs > FRESH_LOAD_MS)
+      .map(({forecast}) => forecast.targetId);
+    const {takeProbes} = this.options;
+    if (targetIds.length === 0 || !takeProbes(targetIds.length, nowMs)) {
+      return false;
+    }
+    const {requestId} = delivery.request;
+    delivery.askedUntilMs = nowMs + ASK_TIMEOUT_MS;
+    this.asking.add(delivery);
+    this.effects.push({type: 'ask', requestId, targetIds});
+    return true;
+  }
+
   /** False while this VM has its share of a busy service in flight. */
   private hasRoom(service: string, nowMs: InstantMs): boolean {
     const {board, fleetSize} = this.options;
@@ -750,6 +815,7 @@
     delivery.isClosed = true;
     delivery.reviewAtMs = Infinity;
     this.waiting.delete(delivery);
+    this.asking.delete(delivery);
   }
 
   private forgetIfDone(delivery: Delivery): void {
--- a/src/delivery/delivery_engine_test.ts
+++ b/src/delivery/delivery_engine_test.ts
@@ -41,12 +41,17 @@
   readonly engine: DeliveryEngine;
   readonly sends: Send[] = [];
   readonly cancelled: string[] = [];
+  readonly asked: Extract<DeliveryEffect, {readonly type: 'ask'}>[] = [];
   readonly outcomes = new Map<string, DeliveryOutcome[]>();
   nowMs = 0;
   private requestCount = 0;
 
   constructor(
-    options: {readonly targets?: number; readonly allowance?: number} = {},
+    options: {
+      readonly targets?: number;
+      readonly allowance?: number;
+      readonly asks?: boolean;
+    } = {},
   ) {
     const {targets = 4, allowance = 1000} = options;
     this.engine = new DeliveryEngine({
@@ -55,6 +60,7 @@
       random: new SeededRandom({seed: 3}),
       resendLimit: {ratio: 0, allowance, windowMs: 10_000},
       fleetSize: () => 1,
+      takeProbes: () => options.asks ?? false,
     });
     this.engine.applyRoutes(tableOf([SAFE, UNSAFE]));
     this.setTargets(targets);
@@ -132,6 +138,10 @@
     this.nowMs = endMs;
   }
 
+  answerAsk(requestId: string): void {
+    this.perform(this.engine.onAsked(requestId, this.nowMs));
+  }
+
   gone(requestId: string): void {
     this.perform(this.engine.onCallerGone(requestId, this.nowMs));
   }
@@ -151,6 +161,8 @@
     for (const effect of effects) {
       if (effect.type === 'send') {
         this.sends.push(effect);
+      } else if (effect.type === 'ask') {
+        this.asked.push(effect);
       } else if (effect.type === 'cancel') {
         this.cancelled.push(effect.token);
       } else if (effect.type === 'respond') {
@@ -207,6 +219,7 @@
     random: new SeededRandom({seed: 1}),
     resendLimit: {ratio: 0, allowance: 0, windowMs: 1},
     fleetSize: () => 1,
+    takeProbes: () => false,
   });
   const request: RoutedRequest = {
     requestId: 'r',
@@ -386,6 +399,33 @@
   assert.equal(bench.engine.openCount, 0);
 });
 
+test('targets are asked first, and the request goes to the fastest', () => {
+  // Guards against choices by loads that changed since they were reported.
+  const bench = new Bench({asks: true});
+  const id = bench.request(UNSAFE);
+  assert.equal(bench.sends.length, 0);
+  const [asked] = bench.asked;
+  assert.equal(asked?.targetIds.length, 3);
+  const fast = asked!.targetIds[1]!;
+  for (const targetId of asked!.targetIds) {
+    const slowness = targetId === fast ? 1 : 7;
+    const load = {running: 0, waiting: 0, slots: 2, slowness};
+    bench.board.onSample(targetId, {...load, measuredMs: 1});
+  }
+  bench.answerAsk(id);
+  assert.equal(bench.sends[0]?.targetId, fast);
+});
+
+test('targets that do not say their load hold no request up', () => {
+  // Guards against requests that wait for a probe of a dark target.
+  const bench = new Bench({asks: true});
+  const id = bench.request(UNSAFE);
+  bench.pass(10);
+  assert.equal(bench.sends.length, 1);
+  bench.answerAsk(id);
+  assert.equal(bench.sends.length, 1);
+});
+
 test('any order of events keeps the promises to callers and targets', () => {
   // Guards against double runs, false verdicts and requests without an end.
   const step = fc.oneof(
--- a/src/delivery/types.ts
+++ b/src/delivery/types.ts
@@ -72,6 +72,12 @@
       readonly maxConnections: number;
       readonly deadlineMs: InstantMs;
     }
+  /** Ask targets for their load at once; `onAsked` follows. */
+  | {
+      readonly type: 'ask';
+      readonly requestId: string;
+      readonly targetIds: readonly string[];
+    }
   | {readonly type: 'cancel'; readonly token: string}
   /** The response of the attempt is not needed any more. */
   | {readonly type: 'discard'; readonly token: string}
--- a/src/entry/composition_root.ts
+++ b/src/entry/composition_root.ts
@@ -11,6 +11,7 @@
 import {DeliveryEngine, type RoutedRequest} from '../delivery/index.js';
 import {FleetNode} from '../fleet/index.js';
 import {LoadBoard} from '../load/index.js';
+import {ProbeAllowance} from '../probing/index.js';
 import {DatagramLink, PublishedServer} from '../peer_datagram/index.js';
 import {CrashQuarantine, FingerprintQuarantine} from '../recovery/index.js';
 import {PublishedSource, PublishedState} from '../registry/index.js';
@@ -32,6 +33,12 @@
  */
 const QUARANTINE_TARGETS = 3;
 
+/**
+ * Part of the agreed probes that VMs may use to ask targets before they send;
+ * the regular probes of the heads take up to 7 a second of the rest.
+ */
+const ASKED_BUDGET_SHARE = 0.6;
+
 /** What differs between platforms. */
 export interface EntryOptions {
   readonly settings: EntrySettings;
@@ -113,12 +120,19 @@
   );
   container.bind(DeliveryEngine).toDynamicValue(({get}) => {
     const fleet = get(FleetNode);
+    const probes = new ProbeAllowance();
     return new DeliveryEngine({
       board: get(LoadBoard),
       quarantine: get(CrashQuarantine),
       random: get(RandomSource),
       resendLimit: settings.resendLimit,
       fleetSize: nowMs => fleet.fleetSize(nowMs),
+      takeProbes: (count, nowMs) => {
+        const targetCount = get(PublishedState).targets.size;
+        const perSecond = settings.maxProbesPerSecond * ASKED_BUDGET_SHARE;
+        const share = targetCount / fleet.fleetSize(nowMs);
+        return probes.tryTake(count, perSecond * share, nowMs);
+      },
     });
   });
 }
@@ -143,6 +157,8 @@
         clock: get(Clock),
         engine: get(DeliveryEngine),
         targets: get(TargetClient),
+        board: get(LoadBoard),
+        prober: get(TargetProber),
         metrics: get(EntryMetrics),
         lines: get(EventLines),
       }),
--- a/src/entry/delivery_runner.ts
+++ b/src/entry/delivery_runner.ts
@@ -16,9 +16,11 @@
   RoutedRequest,
 } from '../delivery/index.js';
 import type {AttemptSignal} from '../engine/index.js';
+import type {LoadBoard} from '../load/index.js';
 import type {TargetClient, TargetResponse} from '../target_http/index.js';
 import type {EntryMetrics} from './entry_metrics.js';
 import type {EventLines} from './event_lines.js';
+import type {TargetProber} from './target_prober.js';
 
 type EffectOf<T extends DeliveryEffect['type']> = Extract<
   DeliveryEffect,
@@ -30,6 +32,8 @@
   readonly clock: Clock;
   readonly engine: DeliveryEngine;
   readonly targets: TargetClient;
+  readonly board: LoadBoard;
+  readonly prober: TargetProber;
   readonly metrics: EntryMetrics;
   readonly lines: EventLines;
 }
@@ -121,6 +125,9 @@
       case 'send':
         this.send(effect);
         break;
+      case 'ask':
+        this.ask(effect);
+        break;
       case 'cancel':
         this.options.targets.cancel(effect.token);
         break;
@@ -137,6 +144,17 @@
     }
   }
 
+  private ask({requestId, targetIds}: EffectOf<'ask'>): void {
+    const {engine, prober, board} = this.options;
+    const targets = targetIds.flatMap(targetId => {
+      const target = board.target(targetId);
+      return target === undefined ? [] : [target];
+    });
+    prober.ask(targets, () =>
+      this.feed(nowMs => engine.onAsked(requestId, nowMs)),
+    );
+  }
+
   private send(effect: EffectOf<'send'>): void {
     const exchange = this.server?.find(effect.requestId);
     if (exchange === undefined) {
--- a/src/entry/load_sharing.ts
+++ b/src/entry/load_sharing.ts
@@ -18,7 +18,7 @@
 import type {KnownTarget} from '../registry/index.js';
 
 /** Least interval of load tables within a failure domain. */
-const TABLE_INTERVAL_MS = 140;
+const TABLE_INTERVAL_MS = 200;
 
 /** Bytes of one observation in a table. */
 const OBSERVATION_BYTES = 26;
@@ -27,16 +27,16 @@
 const TABLE_LINK_SHARE = 0.08;
 
 /** Least interval of load tables between failure domains. */
-const CROSS_TABLE_INTERVAL_MS = 200;
+const CROSS_TABLE_INTERVAL_MS = 300;
 
 /** Interval of outcome reports to the heads. */
 const OUTCOME_INTERVAL_MS = 200;
 
 /** Interval of probes of one target. */
-const PROBE_INTERVAL_MS = 140;
+const PROBE_INTERVAL_MS = 200;
 
 /** Silence of the acting head after which the standby takes over. */
-const HEAD_SILENCE_MS = 400;
+const HEAD_SILENCE_MS = 600;
 
 /** Implications in one message at most. */
 const MAX_IMPLICATIONS = 40;
--- a/src/entry/target_prober.ts
+++ b/src/entry/target_prober.ts
@@ -25,7 +25,7 @@
 
 /** Sends probes; at most one is open at each target. */
 export class TargetProber {
-  private readonly open = new Set<string>();
+  private readonly open = new Map<string, (() => void)[]>();
   private count = 0;
 
   /** @param options - connections, board and routes */
@@ -36,18 +36,43 @@
     return this.count;
   }
 
+  /**
+   * Asks targets for their load.
+   *
+   * @param targets - registered targets
+   * @param onDone - called once when all have answered or failed
+   */
+  ask(targets: readonly KnownTarget[], onDone: () => void): void {
+    let left = targets.length;
+    const onOne = (): void => {
+      left -= 1;
+      if (left === 0) {
+        onDone();
+      }
+    };
+    targets.forEach(target => this.probe(target, onOne));
+  }
+
   /**
    * Asks a target for its load unless an answer is pending.
    *
    * @param target - registered target
+   * @param onDone - called when the pending answer has come or failed
    */
-  probe(target: KnownTarget): void {
+  probe(target: KnownTarget, onDone?: () => void): void {
     const {targetId, host, port, service} = target;
     const path = this.options.routes()?.service(service)?.healthPath;
-    if (path === undefined || this.open.has(targetId)) {
+    if (path === undefined) {
+      onDone?.();
+      return;
+    }
+    const pending = this.open.get(targetId);
+    const listeners = onDone === undefined ? [] : [onDone];
+    if (pending !== undefined) {
+      pending.push(...listeners);
       return;
     }
-    this.open.add(targetId);
+    this.open.set(targetId, listeners);
     this.count += 1;
     const {clock, targets, board} = this.options;
     const token = `probe-${this.count}`;
@@ -72,6 +97,7 @@
           return;
         }
         clearTimeout(timer);
+        const waiting = this.open.get(targetId) ?? [];
         this.open.delete(targetId);
         response?.discard();
         const nowMs = clock.nowMs();
@@ -82,6 +108,7 @@
           board.onSample(targetId, {...signal.figures, measuredMs});
           board.onProbed(targetId, true, nowMs);
         }
+        waiting.forEach(each => each());
       },
     });
   }
--- a/src/load/choose_target.ts
+++ b/src/load/choose_target.ts
@@ -73,6 +73,22 @@
   return pickWeighted(best, random);
 }
 
+/**
+ * Orders targets by cost.
+ *
+ * @param forecasts - candidates
+ * @param needs - what the request needs
+ * @returns candidates with their cost, best first
+ */
+export function rankTargets(
+  forecasts: readonly TargetForecast[],
+  needs: RequestNeeds,
+): readonly TargetChoice[] {
+  return forecasts
+    .map(forecast => ({forecast, cost: costOf(forecast, needs)}))
+    .sort((a, b) => a.cost - b.cost);
+}
+
 /**
  * Computes the cost of a target for a request.
  *
--- a/src/load/index.ts
+++ b/src/load/index.ts
@@ -6,6 +6,7 @@
 export {
   chooseTarget,
   costOf,
+  rankTargets,
   type RequestNeeds,
   type TargetChoice,
 } from './choose_target.js';
