Split limits and experience off the delivery engine; learn sizes of answers

Change: service_limits.ts and route_experience.ts; the runner reports sizes; checked field access moves to src/fields. Conclusion: behaviour changes only in the size of answers.

--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -9,16 +9,14 @@
   chooseTarget,
   costOf,
   rankTargets,
-  WorkEstimate,
   type LoadBoard,
   type RequestNeeds,
   type TargetChoice,
   type TargetForecast,
   type TargetOutcome,
 } from '../load/index.js';
-import {FleetShare} from '../limits/index.js';
 import type {CrashQuarantine} from '../recovery/index.js';
-import {WindowBudget, type WindowLimit} from '../retries/index.js';
+import type {WindowLimit} from '../retries/index.js';
 import {
   WeightedSplit,
   type RouteRule,
@@ -26,6 +24,8 @@
 } from '../routes/index.js';
 import {Delivery, type DeliveryAttempt} from './delivery.js';
 import {buildRefusal} from './refusal.js';
+import {RouteExperiences} from './route_experience.js';
+import {ServiceLimits} from './service_limits.js';
 import type {
   DeliveryEffect,
   DeliveryEvent,
@@ -73,15 +73,6 @@
 /** Requests that may wait at a target in excess of its slots. */
 const MAX_EXCESS_COUNT = 1;
 
-/** Size that requests of a route are assumed to have before any answer. */
-const INITIAL_SIZE_KB = 2;
-
-/** Weight of an answer in the mean size. */
-const SIZE_GAIN = 0.1;
-
-/** Connections that one VM may open to a target at least. */
-const MIN_CONNECTIONS = 2;
-
 /** Options of {@link DeliveryEngine}. */
 export interface DeliveryEngineOptions {
   readonly board: LoadBoard;
@@ -94,12 +85,6 @@
   readonly takeProbes: (count: number, nowMs: InstantMs) => boolean;
 }
 
-/** What is learned of the requests of a route. */
-interface RouteExperience {
-  readonly work: WorkEstimate;
-  sizeKb: number;
-}
-
 /**
  * Takes requests, attempts' signals and time; returns what adapters must do.
  * Each request has one end: the first of response, refusal, route's time,
@@ -120,14 +105,15 @@
   private readonly byToken = new Map<string, Delivery>();
   private readonly waiting = new Set<Delivery>();
   private readonly asking = new Set<Delivery>();
-  private readonly experience = new Map<string, RouteExperience>();
-  private readonly budgets = new Map<string, WindowBudget>();
-  private readonly shares = new Map<string, FleetShare>();
+  private readonly experiences = new RouteExperiences();
+  private readonly limits: ServiceLimits;
   private effects: DeliveryEffect[] = [];
   private tokenCount = 0;
 
   /** @param options - load of targets, quarantine, budget and random source */
-  constructor(private readonly options: DeliveryEngineOptions) {}
+  constructor(private readonly options: DeliveryEngineOptions) {
+    this.limits = new ServiceLimits(options);
+  }
 
   /** Requests that are not answered, or whose attempts have not ended. */
   get openCount(): number {
@@ -203,7 +189,7 @@
       maxWaitMs: this.maxWaitMs(rule),
     });
     this.deliveries.set(request.requestId, delivery);
-    this.budgetOf(service).onRequest(nowMs);
+    this.limits.onRequest(service, nowMs);
     this.dispatch(delivery, nowMs);
     return this.takeEffects();
   }
@@ -254,6 +240,19 @@
     return this.takeEffects();
   }
 
+  /**
+   * Notes the size of a request and its answer, before the answer is reported.
+   *
+   * @param token - token of the attempt
+   * @param sizeBytes - size of both
+   */
+  onSize(token: string, sizeBytes: number): void {
+    const delivery = this.byToken.get(token);
+    if (delivery !== undefined) {
+      this.experiences.onSize(delivery.rule, sizeBytes);
+    }
+  }
+
   /**
    * Notes that a caller has gone. Attempts that may be dropped are cancelled.
    *
@@ -316,7 +315,7 @@
   /** A request that waits longer than this would be answered too late. */
   private maxWaitMs(rule: RouteRule): number {
     const {objectiveMs} = rule;
-    const spareMs = objectiveMs - this.experienceOf(rule).work.workMs;
+    const spareMs = objectiveMs - this.experiences.of(rule).work.workMs;
     const leastMs = objectiveMs * MIN_WAIT_SHARE;
     return Math.min(objectiveMs * MAX_WAIT_SHARE, Math.max(leastMs, spareMs));
   }
@@ -347,7 +346,7 @@
       this.giveUp(delivery, 'no-target', nowMs);
       return;
     }
-    const hasRoom = this.hasRoom(delivery.service, nowMs);
+    const hasRoom = this.limits.hasRoom(delivery.service, nowMs);
     if (hasRoom && this.ask(delivery, forecasts, nowMs)) {
       return;
     }
@@ -391,19 +390,6 @@
     return true;
   }
 
-  /** False while this VM has its share of a busy service in flight. */
-  private hasRoom(service: string, nowMs: InstantMs): boolean {
-    const {board, fleetSize} = this.options;
-    const load = board.serviceLoad(service, nowMs);
-    let share = this.shares.get(service);
-    if (share === undefined) {
-      share = new FleetShare();
-      this.shares.set(service, share);
-    }
-    const limit = share.limit(load, fleetSize(nowMs), nowMs);
-    return board.ownInFlight(service) < limit;
-  }
-
   private forecastsFor(
     delivery: Delivery,
     nowMs: InstantMs,
@@ -411,7 +397,7 @@
     return this.options.board.forecasts(
       {
         service: delivery.service,
-        workMs: this.experienceOf(delivery.rule).work.workMs,
+        workMs: this.experiences.of(delivery.rule).work.workMs,
         excludedTargetIds: delivery.triedTargetIds,
       },
       nowMs,
@@ -435,7 +421,7 @@
       objectiveInMs: objectiveAtMs - nowMs,
       objectiveMs: rule.objectiveMs,
       deadlineInMs: finalAtMs - nowMs,
-      sizeKb: this.experienceOf(rule).sizeKb,
+      sizeKb: this.experiences.of(rule).sizeKb,
       maxExcessCount: MAX_EXCESS_COUNT,
     };
   }
@@ -478,7 +464,11 @@
       host: target.host,
       port: target.port,
       freshness: rule.idempotent ? 'any' : 'proven',
-      maxConnections: this.maxConnections(delivery.service, nowMs),
+      maxConnections: this.limits.maxConnections(
+        this.table,
+        delivery.service,
+        nowMs,
+      ),
       deadlineMs: delivery.finalAtMs,
     });
     this.record('send', {
@@ -658,9 +648,8 @@
     budget: {readonly service: string; readonly reserve: number},
     nowMs: InstantMs,
   ): boolean {
-    const fleetSize = this.options.fleetSize(nowMs);
     const {service, reserve} = budget;
-    if (!this.budgetOf(service).tryTake({fleetSize, reserve}, nowMs)) {
+    if (!this.limits.tryResend(service, reserve, nowMs)) {
       this.record('budget-used-up', {callId: delivery.request.callId, service});
       return false;
     }
@@ -858,50 +847,11 @@
     nowMs: InstantMs,
   ): void {
     if (attempt.sentMs !== undefined) {
-      const {work} = this.experienceOf(rule);
+      const {work} = this.experiences.of(rule);
       work.observe(nowMs - attempt.sentMs, attempt.slowness);
     }
   }
 
-  /**
-   * Notes the size of a delivered answer.
-   *
-   * @param ruleName - route of the request
-   * @param sizeBytes - size of request and answer
-   */
-  onDelivered(ruleName: string, sizeBytes: number): void {
-    const experience = this.experience.get(ruleName);
-    if (experience !== undefined) {
-      const sizeKb = sizeBytes / 1024;
-      experience.sizeKb += (sizeKb - experience.sizeKb) * SIZE_GAIN;
-    }
-  }
-
-  private experienceOf(rule: RouteRule): RouteExperience {
-    let experience = this.experience.get(rule.name);
-    if (experience === undefined) {
-      const work = new WorkEstimate(rule.objectiveMs);
-      experience = {work, sizeKb: INITIAL_SIZE_KB};
-      this.experience.set(rule.name, experience);
-    }
-    return experience;
-  }
-
-  private budgetOf(service: string): WindowBudget {
-    let budget = this.budgets.get(service);
-    if (budget === undefined) {
-      budget = new WindowBudget(this.options.resendLimit);
-      this.budgets.set(service, budget);
-    }
-    return budget;
-  }
-
-  private maxConnections(service: string, nowMs: InstantMs): number {
-    const limit = this.table?.service(service)?.maxConnectionsPerTarget;
-    const share = (limit ?? 0) / this.options.fleetSize(nowMs);
-    return Math.max(MIN_CONNECTIONS, Math.floor(share));
-  }
-
   private recordEnd(
     delivery: Delivery,
     attempt: DeliveryAttempt,
--- /dev/null
+++ b/src/delivery/service_limits.ts
@@ -0,0 +1,94 @@
+/**
+ * Limits of one VM for each service: requests in flight, resends, connections.
+ *
+ * @packageDocumentation
+ */
+import type {InstantMs} from '../core/index.js';
+import {FleetShare} from '../limits/index.js';
+import type {LoadBoard} from '../load/index.js';
+import {WindowBudget, type WindowLimit} from '../retries/index.js';
+import type {RouteTable} from '../routes/index.js';
+
+/** Connections that one VM may open to a target at least. */
+const MIN_CONNECTIONS = 2;
+
+/** Options of {@link ServiceLimits}. */
+export interface ServiceLimitsOptions {
+  readonly board: LoadBoard;
+  readonly resendLimit: WindowLimit;
+  /** Upper bound of the number of VMs. */
+  readonly fleetSize: (nowMs: InstantMs) => number;
+}
+
+/** Shares of what all VMs of the fleet have together. */
+export class ServiceLimits {
+  private readonly shares = new Map<string, FleetShare>();
+  private readonly budgets = new Map<string, WindowBudget>();
+
+  /** @param options - loads, limit of resends, and size of the fleet */
+  constructor(private readonly options: ServiceLimitsOptions) {}
+
+  /** Counts a request of a caller. */
+  onRequest(service: string, nowMs: InstantMs): void {
+    this.budgetOf(service).onRequest(nowMs);
+  }
+
+  /**
+   * Takes one resend.
+   *
+   * @param service - name of the service
+   * @param reserve - part of the budget, 0 to 1, that must stay
+   * @param nowMs - current instant in milliseconds
+   * @returns false if the budget is used up
+   */
+  tryResend(service: string, reserve: number, nowMs: InstantMs): boolean {
+    const fleetSize = this.options.fleetSize(nowMs);
+    return this.budgetOf(service).tryTake({fleetSize, reserve}, nowMs);
+  }
+
+  /**
+   * Tells whether this VM may send a further request.
+   *
+   * @param service - name of the service
+   * @param nowMs - current instant in milliseconds
+   * @returns false while it has its share of a busy service in flight
+   */
+  hasRoom(service: string, nowMs: InstantMs): boolean {
+    const {board, fleetSize} = this.options;
+    let share = this.shares.get(service);
+    if (share === undefined) {
+      share = new FleetShare();
+      this.shares.set(service, share);
+    }
+    const load = board.serviceLoad(service, nowMs);
+    const limit = share.limit(load, fleetSize(nowMs), nowMs);
+    return board.ownInFlight(service) < limit;
+  }
+
+  /**
+   * Divides the connections that a target accepts.
+   *
+   * @param table - routes in force; undefined before there are any
+   * @param service - name of the service
+   * @param nowMs - current instant in milliseconds
+   * @returns connections of this VM to each target
+   */
+  maxConnections(
+    table: RouteTable | undefined,
+    service: string,
+    nowMs: InstantMs,
+  ): number {
+    const limit = table?.service(service)?.maxConnectionsPerTarget ?? 0;
+    const share = limit / this.options.fleetSize(nowMs);
+    return Math.max(MIN_CONNECTIONS, Math.floor(share));
+  }
+
+  private budgetOf(service: string): WindowBudget {
+    let budget = this.budgets.get(service);
+    if (budget === undefined) {
+      budget = new WindowBudget(this.options.resendLimit);
+      this.budgets.set(service, budget);
+    }
+    return budget;
+  }
+}
--- a/src/entry/delivery_runner.ts
+++ b/src/entry/delivery_runner.ts
@@ -205,6 +205,7 @@
     }
     if (response !== undefined) {
       this.responses.set(token, response);
+      engine.onSize(token, response.sizeBytes);
     }
     this.options.metrics.onAttemptEnded(signal.type);
     this.feed(nowMs => engine.onSignal(token, signal, nowMs));
--- a/platform/field_reader.ts
+++ b/src/fields/field_reader.ts
@@ -1,5 +1,5 @@
 /**
- * Checked access to the platform's JSON documents.
+ * Checked access to the fields of JSON documents from outside.
  *
  * @packageDocumentation
  */
@@ -10,7 +10,7 @@
   override readonly name = 'FieldError';
 }
 
-/** Units of the platform's times, in milliseconds. */
+/** Units of times, in milliseconds. */
 const UNIT_MS: ReadonlyMap<string, number> = new Map([
   ['ms', 1],
   ['s', 1000],
--- /dev/null
+++ b/src/fields/index.ts
@@ -0,0 +1,11 @@
+/**
+ * Checked access to the fields of JSON documents.
+ *
+ * @packageDocumentation
+ */
+export {
+  decodeWith,
+  FieldError,
+  FieldReader,
+  parseAddress,
+} from './field_reader.js';
