Split target selection and log lines off the delivery engine

Cause: the engine was still one file of 900 lines with two jobs more than its own. Change: target_selection.ts chooses, delivery_events.ts describes; the engine keeps the life of requests.

--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -5,27 +5,26 @@
  */
 import type {InstantMs, RandomSource} from '../core/index.js';
 import type {AttemptSignal} from '../engine/index.js';
-import {
-  chooseTarget,
-  costOf,
-  rankTargets,
-  type LoadBoard,
-  type RequestNeeds,
-  type TargetChoice,
-  type TargetForecast,
-  type TargetOutcome,
+import type {
+  LoadBoard,
+  TargetChoice,
+  TargetForecast,
+  TargetOutcome,
 } from '../load/index.js';
 import type {CrashQuarantine} from '../recovery/index.js';
 import type {WindowLimit} from '../retries/index.js';
-import {
-  WeightedSplit,
-  type RouteRule,
-  type RouteTable,
-} from '../routes/index.js';
+import {WeightedSplit, type RouteTable} from '../routes/index.js';
 import {Delivery, type DeliveryAttempt} from './delivery.js';
+import {
+  answerEvent,
+  attemptFailedEvent,
+  refuseEvent,
+  sendEvent,
+} from './delivery_events.js';
 import {buildRefusal} from './refusal.js';
 import {RouteExperiences} from './route_experience.js';
 import {ServiceLimits} from './service_limits.js';
+import {TargetSelection} from './target_selection.js';
 import type {
   DeliveryEffect,
   DeliveryEvent,
@@ -33,10 +32,6 @@
   RoutedRequest,
 } from './types.js';
 
-/** Parts of the objective for which a request may wait for a free target. */
-const MIN_WAIT_SHARE = 1 / 8;
-const MAX_WAIT_SHARE = 0.4;
-
 /** Multiple of the forecast after which an unanswered attempt is looked at. */
 const REVIEW_FACTOR = 1.2;
 
@@ -49,30 +44,15 @@
 /** Part of the resend budget that second sends leave for refused requests. */
 const SECOND_SEND_RESERVE = 0.4;
 
-/** Cost up to which a second send is likely enough to arrive in time. */
-const SECOND_SEND_MAX_COST = 0.8;
-
 /** Connections that cannot be opened for one request until it is given up. */
 const MAX_UNREACHABLE = 6;
 
-/**
- * Targets that are asked for their load before a request is sent. More find a
- * fast one more often, at the cost of a probe each (`bench/table_delivery.ts`).
- */
-const ASKED_COUNT = 5;
-
 /** Targets that are asked when the budget does not allow more. */
 const LEAST_ASKED_COUNT = 2;
 
-/** A load up to this age is used without asking. */
-const FRESH_LOAD_MS = 20;
-
 /** Time for targets to state their load; within a failure domain it takes 1 ms. */
 const ASK_TIMEOUT_MS = 8;
 
-/** Requests that may wait at a target in excess of its slots. */
-const MAX_EXCESS_COUNT = 1;
-
 /** Options of {@link DeliveryEngine}. */
 export interface DeliveryEngineOptions {
   readonly board: LoadBoard;
@@ -107,12 +87,16 @@
   private readonly asking = new Set<Delivery>();
   private readonly experiences = new RouteExperiences();
   private readonly limits: ServiceLimits;
+  private readonly selection: TargetSelection;
   private effects: DeliveryEffect[] = [];
   private tokenCount = 0;
 
   /** @param options - load of targets, quarantine, budget and random source */
   constructor(private readonly options: DeliveryEngineOptions) {
+    const {board, random} = options;
+    const {experiences} = this;
     this.limits = new ServiceLimits(options);
+    this.selection = new TargetSelection({board, random, experiences});
   }
 
   /** Requests that are not answered, or whose attempts have not ended. */
@@ -186,7 +170,7 @@
       return this.refuseAtOnce(request, 'quarantined');
     }
     const delivery = new Delivery(request, rule, service, {
-      maxWaitMs: this.maxWaitMs(rule),
+      maxWaitMs: this.selection.maxWaitMs(rule),
     });
     this.deliveries.set(request.requestId, delivery);
     this.limits.onRequest(service, nowMs);
@@ -312,14 +296,6 @@
     return this.takeEffects();
   }
 
-  /** A request that waits longer than this would be answered too late. */
-  private maxWaitMs(rule: RouteRule): number {
-    const {objectiveMs} = rule;
-    const spareMs = objectiveMs - this.experiences.of(rule).work.workMs;
-    const leastMs = objectiveMs * MIN_WAIT_SHARE;
-    return Math.min(objectiveMs * MAX_WAIT_SHARE, Math.max(leastMs, spareMs));
-  }
-
   private dispatchWaiting(nowMs: InstantMs): void {
     if (this.waiting.size === 0) {
       return;
@@ -341,7 +317,7 @@
       this.refuse(delivery, 'quarantined', nowMs);
       return;
     }
-    const forecasts = this.forecastsFor(delivery, nowMs);
+    const forecasts = this.selection.forecasts(delivery, nowMs);
     if (forecasts.length === 0) {
       this.giveUp(delivery, 'no-target', nowMs);
       return;
@@ -351,7 +327,7 @@
       return;
     }
     const choice = hasRoom
-      ? this.choose(delivery, forecasts, nowMs)
+      ? this.selection.choose(delivery, forecasts, nowMs)
       : undefined;
     if (choice !== undefined) {
       this.send(delivery, choice, nowMs);
@@ -368,16 +344,12 @@
     forecasts: readonly TargetForecast[],
     nowMs: InstantMs,
   ): boolean {
-    if (delivery.askedUntilMs !== undefined || forecasts.length === 1) {
+    if (delivery.askedUntilMs !== undefined) {
       return false;
     }
-    const needs = this.needsOf(delivery, nowMs);
-    const targetIds = rankTargets(forecasts, needs)
-      .slice(0, ASKED_COUNT)
-      .filter(({forecast}) => forecast.loadAgeMs > FRESH_LOAD_MS)
-      .map(({forecast}) => forecast.targetId);
+    const targetIds = this.selection.targetsToAsk(delivery, forecasts, nowMs);
     const {takeProbes} = this.options;
-    const allowed = [ASKED_COUNT, LEAST_ASKED_COUNT]
+    const allowed = [targetIds.length, LEAST_ASKED_COUNT]
       .map(count => targetIds.slice(0, count))
       .find(ids => ids.length > 0 && takeProbes(ids.length, nowMs));
     if (allowed === undefined) {
@@ -390,48 +362,13 @@
     return true;
   }
 
-  private forecastsFor(
-    delivery: Delivery,
-    nowMs: InstantMs,
-  ): readonly TargetForecast[] {
-    return this.options.board.forecasts(
-      {
-        service: delivery.service,
-        workMs: this.experiences.of(delivery.rule).work.workMs,
-        excludedTargetIds: delivery.triedTargetIds,
-      },
-      nowMs,
-    );
-  }
-
-  private choose(
-    delivery: Delivery,
-    forecasts: readonly TargetForecast[],
-    nowMs: InstantMs,
-  ): TargetChoice | undefined {
-    const needs = this.needsOf(delivery, nowMs);
-    return chooseTarget(forecasts, needs, this.options.random);
-  }
-
-  private needsOf(
-    {rule, objectiveAtMs, finalAtMs}: Delivery,
-    nowMs: InstantMs,
-  ): RequestNeeds {
-    return {
-      objectiveInMs: objectiveAtMs - nowMs,
-      objectiveMs: rule.objectiveMs,
-      deadlineInMs: finalAtMs - nowMs,
-      sizeKb: this.experiences.of(rule).sizeKb,
-      maxExcessCount: MAX_EXCESS_COUNT,
-    };
-  }
-
   private send(
     delivery: Delivery,
-    {forecast, cost}: TargetChoice,
+    choice: TargetChoice,
     nowMs: InstantMs,
   ): void {
     const {board} = this.options;
+    const {forecast} = choice;
     const target = board.target(forecast.targetId);
     if (target === undefined) {
       return;
@@ -471,18 +408,8 @@
       ),
       deadlineMs: delivery.finalAtMs,
     });
-    this.record('send', {
-      callId: request.callId,
-      route: rule.name,
-      routesVersion: this.table?.version ?? 0,
-      attempt: delivery.attempts.length,
-      targetId: forecast.targetId,
-      expectedMs: Math.round(forecast.durationMs),
-      loadAgeMs: finiteOr(forecast.loadAgeMs, -1),
-      failureShare: roundShare(forecast.failureShare),
-      cost: roundShare(cost),
-      waitedMs: Math.round(nowMs - request.arrivedMs),
-    });
+    const routesVersion = this.table?.version ?? 0;
+    this.log(sendEvent(delivery, choice, {routesVersion, nowMs}));
   }
 
   private onSent(
@@ -572,7 +499,7 @@
       return;
     }
     if (delivery.rule.idempotent && this.resend(delivery, 0, nowMs)) {
-      this.recordEnd(delivery, attempt, 'server-error', nowMs);
+      this.log(attemptFailedEvent(delivery, attempt, 'server-error', nowMs));
       return;
     }
     this.respond(delivery, delivery.errorToken, status, nowMs);
@@ -600,7 +527,7 @@
     if (delivery.isClosed) {
       return;
     }
-    this.recordEnd(delivery, attempt, reason, nowMs);
+    this.log(attemptFailedEvent(delivery, attempt, reason, nowMs));
     if (delivery.openAttempts.length > 0) {
       return;
     }
@@ -631,8 +558,8 @@
     if (quarantine.isQuarantined(request.fingerprint, nowMs)) {
       return false;
     }
-    const forecasts = this.forecastsFor(delivery, nowMs);
-    const choice = this.choose(delivery, forecasts, nowMs);
+    const forecasts = this.selection.forecasts(delivery, nowMs);
+    const choice = this.selection.choose(delivery, forecasts, nowMs);
     if (choice === undefined) {
       return false;
     }
@@ -670,10 +597,8 @@
       delivery.reviewAtMs = Infinity;
       return;
     }
-    const forecasts = this.forecastsFor(delivery, nowMs);
-    const needs = this.needsOf(delivery, nowMs);
-    const choice = chooseTarget(forecasts, needs, this.options.random);
-    if (choice === undefined || !this.isSecondSendWorthIt(choice, needs)) {
+    const choice = this.selection.chooseSecond(delivery, nowMs);
+    if (choice === undefined) {
       return;
     }
     const budget = {service: delivery.service, reserve: SECOND_SEND_RESERVE};
@@ -682,25 +607,13 @@
     }
   }
 
-  /** A second send must be likely to arrive within the objective. */
-  private isSecondSendWorthIt(
-    {forecast}: TargetChoice,
-    needs: RequestNeeds,
-  ): boolean {
-    return (
-      forecast.excessCount === 0 &&
-      forecast.durationMs < needs.objectiveInMs &&
-      costOf(forecast, needs) < SECOND_SEND_MAX_COST
-    );
-  }
-
   private respond(
     delivery: Delivery,
     token: string,
     status: number,
     nowMs: InstantMs,
   ): void {
-    const {requestId, callId, arrivedMs} = delivery.request;
+    const {requestId} = delivery.request;
     this.close(delivery);
     if (delivery.errorToken !== undefined && delivery.errorToken !== token) {
       this.effects.push({type: 'discard', token: delivery.errorToken});
@@ -710,22 +623,11 @@
       requestId,
       outcome: {type: 'response', token},
     });
-    this.record('answer', {
-      callId,
-      status,
-      targetId: this.targetOf(delivery, token),
-      attempts: delivery.attempts.length,
-      elapsedMs: Math.round(nowMs - arrivedMs),
-    });
+    this.log(answerEvent(delivery, token, status, nowMs));
     this.cancelUnsent(delivery);
     this.forgetIfDone(delivery);
   }
 
-  private targetOf(delivery: Delivery, token: string): string {
-    const attempt = delivery.attempts.find(each => each.token === token);
-    return attempt?.targetId ?? '';
-  }
-
   /** Ends a request that cannot be sent any more. */
   private giveUp(
     delivery: Delivery,
@@ -748,31 +650,13 @@
     const outcome = buildRefusal(reason, verdict, this.options.random);
     this.close(delivery);
     this.effects.push({type: 'respond', requestId: request.requestId, outcome});
-    this.record('refuse', {
-      callId: request.callId,
-      route: delivery.rule.name,
-      reason,
-      verdict,
-      status: outcome.type === 'refusal' ? outcome.status : 0,
-      ...this.loadDetails(delivery.service, nowMs),
-      attempts: delivery.attempts.length,
-      elapsedMs: Math.round(nowMs - request.arrivedMs),
-    });
-    this.forgetIfDone(delivery);
-  }
-
-  /** Load of a service as the log states it. */
-  private loadDetails(
-    service: string,
-    nowMs: InstantMs,
-  ): DeliveryEvent['details'] {
     const {board} = this.options;
-    const {slotCount, inFlightCount} = board.serviceLoad(service, nowMs);
-    return {
-      slotCount,
-      inFlightCount: Math.round(inFlightCount),
-      ownInFlight: board.ownInFlight(service),
+    const load = {
+      ...board.serviceLoad(delivery.service, nowMs),
+      ownInFlight: board.ownInFlight(delivery.service),
     };
+    this.log(refuseEvent(delivery, {reason, outcome}, load, nowMs));
+    this.forgetIfDone(delivery);
   }
 
   private refuseAtOnce(
@@ -852,23 +736,12 @@
     }
   }
 
-  private recordEnd(
-    delivery: Delivery,
-    attempt: DeliveryAttempt,
-    outcome: string,
-    nowMs: InstantMs,
-  ): void {
-    this.record('attempt-failed', {
-      callId: delivery.request.callId,
-      targetId: attempt.targetId,
-      outcome,
-      verdict: attempt.verdict,
-      elapsedMs: Math.round(nowMs - attempt.startedMs),
-    });
+  private record(name: string, details: DeliveryEvent['details']): void {
+    this.log({name, details});
   }
 
-  private record(name: string, details: DeliveryEvent['details']): void {
-    this.effects.push({type: 'event', event: {name, details}});
+  private log(event: DeliveryEvent): void {
+    this.effects.push({type: 'event', event});
   }
 
   private takeEffects(): readonly DeliveryEffect[] {
@@ -895,11 +768,3 @@
       return 'withdrawn';
   }
 }
-
-function finiteOr(value: number, fallback: number): number {
-  return Number.isFinite(value) ? Math.round(value) : fallback;
-}
-
-function roundShare(value: number): number {
-  return Math.round(value * 1000) / 1000;
-}
