--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -114,11 +114,6 @@
     this.isLeaving = true;
   }
 
-  /** Fingerprints to tell peers of. */
-  implications(nowMs: InstantMs): ReadonlyMap<string, readonly string[]> {
-    return this.options.quarantine.implications(nowMs);
-  }
-
   /**
    * Finds the instant at which {@link onTimer} must be called next.
    *
@@ -647,14 +642,15 @@
     nowMs: InstantMs,
   ): void {
     const {request, verdict} = delivery;
-    const outcome = buildRefusal(reason, verdict, this.options.random);
-    this.close(delivery);
-    this.effects.push({type: 'respond', requestId: request.requestId, outcome});
-    const {board} = this.options;
+    const {board, random} = this.options;
     const load = {
       ...board.serviceLoad(delivery.service, nowMs),
       ownInFlight: board.ownInFlight(delivery.service),
     };
+    const share = load.inFlightCount / Math.max(1, load.slotCount);
+    const outcome = buildRefusal({reason, verdict, load: share}, random);
+    this.close(delivery);
+    this.effects.push({type: 'respond', requestId: request.requestId, outcome});
     this.log(refuseEvent(delivery, {reason, outcome}, load, nowMs));
     this.forgetIfDone(delivery);
   }
@@ -664,7 +660,8 @@
     reason: DeliveryReason,
   ): readonly DeliveryEffect[] {
     const {requestId, callId, host, path} = request;
-    const outcome = buildRefusal(reason, 'not-run', this.options.random);
+    const cause = {reason, verdict: 'not-run', load: 0} as const;
+    const outcome = buildRefusal(cause, this.options.random);
     this.effects.push({type: 'respond', requestId, outcome});
     this.record('refuse', {
       callId,
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -212,6 +212,8 @@
   private stopListening(): void {
     this.parts.callers.stopListening();
     this.parts.callers.closeIdle();
+    // What arrives now on connections still in use could not end in time.
+    this.parts.engine.beginLeaving();
     this.parts.lines.state('process', 'stopped listening');
     const check = (): void => {
       const {engine, callers} = this.parts;
