Share one GET request with a time limit

Cause: the store's client and the exchange between VMs held the same 40 lines. Change: src/http_get, with tests for answers that break off and for silence. Conclusion: one copy.

--- a/src/peer_datagram/published_exchange.ts
+++ b/src/peer_datagram/published_exchange.ts
@@ -5,7 +5,6 @@
  */
 import {
   createServer,
-  request,
   type IncomingMessage,
   type Server,
   type ServerResponse,
@@ -13,6 +12,7 @@
 import {decode, encode} from '@msgpack/msgpack';
 import {err, ok, type Result} from 'neverthrow';
 import type {KnownPosition} from '../fleet/index.js';
+import {httpGet} from '../http_get/index.js';
 import type {
   PublishedDelta,
   PublishedSnapshot,
@@ -126,48 +126,22 @@
  *     allowed in milliseconds
  * @returns the peer's state, or why it did not come
  */
-export function fetchPublished(options: {
+export async function fetchPublished(options: {
   readonly host: string;
   readonly port: number;
   readonly after: Revision;
   readonly timeoutMs: number;
 }): Promise<Result<FetchedState, FetchError>> {
   const {host, port, after, timeoutMs} = options;
-  return new Promise(resolve => {
-    const call = request({
-      host,
-      port,
-      path: `${PATH}?${AFTER_PARAMETER}=${after}`,
-      agent: false,
-    });
-    const timer = setTimeout(() => {
-      resolve(err({type: 'timeout', reason: `no answer in ${timeoutMs} ms`}));
-      call.destroy();
-    }, timeoutMs);
-    const fail = (error: Error): void => {
-      clearTimeout(timer);
-      resolve(err({type: 'unreachable', reason: error.message}));
-    };
-    call.on('error', fail);
-    call.on('response', answer => {
-      const chunks: Buffer[] = [];
-      answer.on('error', fail);
-      answer.on('data', (chunk: Buffer) => chunks.push(chunk));
-      answer.on('close', () => {
-        clearTimeout(timer);
-        resolve(
-          answer.complete
-            ? readAnswer(answer.statusCode, Buffer.concat(chunks))
-            : err({type: 'unreachable', reason: 'the answer broke off'}),
-        );
-      });
-    });
-    call.end();
-  });
+  const path = `${PATH}?${AFTER_PARAMETER}=${after}`;
+  const answer = await httpGet({host, port, path, timeoutMs});
+  return answer.isErr()
+    ? err(answer.error)
+    : readAnswer(answer.value.status, answer.value.body);
 }
 
 function readAnswer(
-  status: number | undefined,
+  status: number,
   body: Buffer,
 ): Result<FetchedState, FetchError> {
   if (status !== 200) {
