--- a/src/fleet/fleet_node.ts
+++ b/src/fleet/fleet_node.ts
@@ -11,7 +11,7 @@
 import {MemberDirectory} from './member_directory.js';
 import {ReadingDuty} from './reading_duty.js';
 import type {
-  Beat,
+  Heartbeat,
   Changes,
   Dispatch,
   FleetMessage,
@@ -22,22 +22,22 @@
   ReportedMember,
 } from './types.js';
 
-/** Interval of beats from a member to the heads of its failure domain. */
-const MEMBER_BEAT_MS = 400;
+/** Interval of heartbeats from a member to the heads of its failure domain. */
+const MEMBER_HEARTBEAT_MS = 400;
 
-/** Interval of beats from a head to the members of its failure domain. */
-const HEAD_BEAT_MS = 300;
+/** Interval of heartbeats from a head to the members of its failure domain. */
+const HEAD_HEARTBEAT_MS = 300;
 
-/** Interval of beats from a head to the heads of other failure domains. */
-const CROSS_BEAT_MS = 500;
+/** Interval of heartbeats from a head to the heads of other failure domains. */
+const CROSS_HEARTBEAT_MS = 500;
 
-/** Interval of beats to the seeds until heads are known. */
-const SEED_BEAT_MS = 150;
+/** Interval of heartbeats to the seeds until heads are known. */
+const SEED_HEARTBEAT_MS = 150;
 
-/** Interval of beats to the seeds afterwards; joins parts that were apart. */
+/** Interval of heartbeats to the seeds afterwards; joins parts that were apart. */
 const SEED_REFRESH_MS = 3_000;
 
-/** Members named in one beat at most; keeps datagrams small. */
+/** Members named in one heartbeat at most; keeps datagrams small. */
 const MAX_NAMED_MEMBERS = 60;
 
 /** Members of another failure domain named to its heads and newcomers. */
@@ -75,7 +75,7 @@
 }
 
 /**
- * Members send beats to the two heads of their failure domain; heads tell their
+ * Members send heartbeats to the two heads of their failure domain; heads tell their
  * members and the heads of the other failure domains. So the messages of a
  * member do not grow with the fleet, and those of a head grow with its domain.
  */
@@ -93,10 +93,10 @@
   private peerConfirmedMs: InstantMs = -Infinity;
   private view: HeadView;
   private nextViewMs: InstantMs = 0;
-  private nextMemberBeatMs: InstantMs = 0;
-  private nextHeadBeatMs: InstantMs = 0;
-  private nextCrossBeatMs: InstantMs = 0;
-  private nextSeedBeatMs: InstantMs = 0;
+  private nextMemberHeartbeatMs: InstantMs = 0;
+  private nextHeadHeartbeatMs: InstantMs = 0;
+  private nextCrossHeartbeatMs: InstantMs = 0;
+  private nextSeedHeartbeatMs: InstantMs = 0;
 
   /** @param options - identity, random source and instant of the start */
   constructor(private readonly options: FleetNodeOptions) {
@@ -227,12 +227,12 @@
       this.countFleet(nowMs);
     }
     const sent: Dispatch[] = [];
-    this.beatToSeeds(sent, nowMs);
+    this.sendToSeeds(sent, nowMs);
     if (this.isHead) {
-      this.beatAsHead(sent, nowMs);
-    } else if (nowMs >= this.nextMemberBeatMs) {
-      this.nextMemberBeatMs = nowMs + MEMBER_BEAT_MS;
-      this.add(sent, this.view.ownHeads, this.beat([], nowMs));
+      this.sendAsHead(sent, nowMs);
+    } else if (nowMs >= this.nextMemberHeartbeatMs) {
+      this.nextMemberHeartbeatMs = nowMs + MEMBER_HEARTBEAT_MS;
+      this.add(sent, this.view.ownHeads, this.heartbeat([], nowMs));
     }
     return sent;
   }
@@ -246,7 +246,7 @@
   announce(nowMs: InstantMs): readonly Dispatch[] {
     const hosts = [...this.view.ownHeads, ...this.otherHeadHosts()];
     const sent: Dispatch[] = [];
-    this.add(sent, hosts, this.beat([], nowMs));
+    this.add(sent, hosts, this.heartbeat([], nowMs));
     return sent;
   }
 
@@ -298,13 +298,13 @@
     this.directory.observe({...message.sender, ageMs: HOP_MS}, nowMs);
     let delta: PublishedDelta | undefined;
     let isSenderAhead = false;
-    if (message.type === 'beat') {
-      this.onBeat(message, dispatches, nowMs);
+    if (message.type === 'heartbeat') {
+      this.onHeartbeat(message, dispatches, nowMs);
       isSenderAhead = message.position.revision > this.ownRevision;
     } else if (message.type === 'changes') {
       ({delta} = message);
     }
-    if (message.type === 'beat' || message.type === 'changes') {
+    if (message.type === 'heartbeat' || message.type === 'changes') {
       this.takeConfirmation(message.position, nowMs);
     }
     return {news: {delta, isSenderAhead}, dispatches};
@@ -342,17 +342,21 @@
     };
   }
 
-  private onBeat(beat: Beat, dispatches: Dispatch[], nowMs: InstantMs): void {
-    for (const member of beat.members) {
+  private onHeartbeat(
+    heartbeat: Heartbeat,
+    dispatches: Dispatch[],
+    nowMs: InstantMs,
+  ): void {
+    for (const member of heartbeat.members) {
       this.directory.observe(member, nowMs);
     }
-    const {failureDomain, host} = beat.sender;
+    const {failureDomain, host} = heartbeat.sender;
     const isOwnDomain = failureDomain === this.options.identity.failureDomain;
-    this.size.onReported(beat.fleetSize, nowMs);
+    this.size.onReported(heartbeat.fleetSize, nowMs);
     if (!isOwnDomain) {
-      this.size.onDomain(failureDomain, beat.domainSize, nowMs);
+      this.size.onDomain(failureDomain, heartbeat.domainSize, nowMs);
     }
-    if (beat.domainSize === 0) {
+    if (heartbeat.domainSize === 0) {
       // The sender knows nobody yet: name those that it should turn to.
       const ranked = this.directory.rank(
         this.directory.alive(nowMs, failureDomain),
@@ -364,39 +368,39 @@
       this.add(
         dispatches,
         [host],
-        this.beat(this.reported(useful, nowMs), nowMs),
+        this.heartbeat(this.reported(useful, nowMs), nowMs),
       );
     }
   }
 
-  private beatToSeeds(sent: Dispatch[], nowMs: InstantMs): void {
-    if (nowMs < this.nextSeedBeatMs || this.seedHosts.length === 0) {
+  private sendToSeeds(sent: Dispatch[], nowMs: InstantMs): void {
+    if (nowMs < this.nextSeedHeartbeatMs || this.seedHosts.length === 0) {
       return;
     }
     const knowsOthers = this.view.ownDomainHosts.length > 0;
-    this.nextSeedBeatMs =
-      nowMs + (knowsOthers ? SEED_REFRESH_MS : SEED_BEAT_MS);
-    this.add(sent, this.seedHosts, this.beat([], nowMs));
+    this.nextSeedHeartbeatMs =
+      nowMs + (knowsOthers ? SEED_REFRESH_MS : SEED_HEARTBEAT_MS);
+    this.add(sent, this.seedHosts, this.heartbeat([], nowMs));
   }
 
-  private beatAsHead(sent: Dispatch[], nowMs: InstantMs): void {
-    if (nowMs >= this.nextHeadBeatMs) {
-      this.nextHeadBeatMs = nowMs + HEAD_BEAT_MS;
+  private sendAsHead(sent: Dispatch[], nowMs: InstantMs): void {
+    if (nowMs >= this.nextHeadHeartbeatMs) {
+      this.nextHeadHeartbeatMs = nowMs + HEAD_HEARTBEAT_MS;
       const own = this.options.identity.failureDomain;
       const members = [
         ...this.directory.alive(nowMs, own),
         ...this.otherDomainHeads(nowMs),
       ];
       const named = this.reported(members, nowMs).slice(0, MAX_NAMED_MEMBERS);
-      this.add(sent, this.view.ownDomainHosts, this.beat(named, nowMs));
+      this.add(sent, this.view.ownDomainHosts, this.heartbeat(named, nowMs));
     }
-    if (nowMs >= this.nextCrossBeatMs) {
-      this.nextCrossBeatMs = nowMs + CROSS_BEAT_MS;
+    if (nowMs >= this.nextCrossHeartbeatMs) {
+      this.nextCrossHeartbeatMs = nowMs + CROSS_HEARTBEAT_MS;
       const own = this.options.identity.failureDomain;
       const ranked = this.directory.rank(this.directory.alive(nowMs, own));
       const named = this.reported(ranked, nowMs).slice(0, NAMED_HEADS);
       const hosts = this.otherHeadHosts();
-      this.add(sent, hosts, this.beat(named, nowMs));
+      this.add(sent, hosts, this.heartbeat(named, nowMs));
     }
   }
 
@@ -423,10 +427,13 @@
     return reported;
   }
 
-  private beat(members: readonly ReportedMember[], nowMs: InstantMs): Beat {
+  private heartbeat(
+    members: readonly ReportedMember[],
+    nowMs: InstantMs,
+  ): Heartbeat {
     const others = this.view.ownDomainHosts.length;
     return {
-      type: 'beat',
+      type: 'heartbeat',
       sender: this.reportSelf(),
       position: this.position(nowMs),
       members,
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -7,7 +7,7 @@
 import type {Member, MemberIdentity, ReportedMember} from './types.js';
 
 /**
- * A member not heard of for this time counts as down. Members send a beat each
+ * A member not heard of for this time counts as down. Members send a heartbeat each
  * 400 ms and the list of a failure domain is passed on each 300 ms, so two lost
  * datagrams in a row are survived.
  */
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -45,8 +45,8 @@
 }
 
 /** Regular message: the sender is alive, and what it knows of the fleet. */
-export interface Beat {
-  readonly type: 'beat';
+export interface Heartbeat {
+  readonly type: 'heartbeat';
   readonly sender: ReportedMember;
   readonly position: KnownPosition;
   /** Members that the receiver may not know. */
@@ -110,7 +110,7 @@
 }
 
 /** Any message between VMs. */
-export type FleetMessage = Beat | Changes | LoadTable | OutcomeReport;
+export type FleetMessage = Heartbeat | Changes | LoadTable | OutcomeReport;
 
 /** A message and where it goes. */
 export interface Dispatch {
--- a/src/peer_datagram/fleet_codec.ts
+++ b/src/peer_datagram/fleet_codec.ts
@@ -74,7 +74,7 @@
 
 function packBody(message: FleetMessage): readonly unknown[] {
   switch (message.type) {
-    case 'beat':
+    case 'heartbeat':
       return [
         packPosition(message.position),
         message.members.map(packMember),
@@ -97,7 +97,7 @@
   const type = reader.text();
   const sender = unpackMember(reader.nested());
   switch (type) {
-    case 'beat':
+    case 'heartbeat':
       return {
         type,
         sender,
--- a/src/peer_datagram/fleet_codec_test.ts
+++ b/src/peer_datagram/fleet_codec_test.ts
@@ -85,7 +85,7 @@
 
 const message: fc.Arbitrary<FleetMessage> = fc.oneof(
   fc.record({
-    type: fc.constant('beat' as const),
+    type: fc.constant('heartbeat' as const),
     sender: member,
     position,
     members: fc.array(member, {maxLength: 4}),
