--- a/bench/all.sh
+++ b/bench/all.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Prints all tables of the policy in simulated time: choice of a target,
-# head-of-line blocking, peak load, probes, crashing requests, membership. The
+# head-of-line blocking, peak load, probes, crashing requests, membership, and
+# the sources of loads of entry daemons. The
 # figures depend on the seeds only, not on the load of the machine.
 #
 # Usage: all.sh [seed of the routing policies]. Needs a build; about 10 minutes.
@@ -9,3 +10,4 @@
 node dist/bench/routing_policies.js --seconds=8 --seed="${1:-20251}"
 node dist/bench/engine_policies.js
 node dist/bench/membership_cost.js 41
+node dist/bench/table_delivery.js --seeds=3
