Test the sharing of loads; drop a condition that never decided

Change: tests of heads, standbys and members; the condition is gone. Conclusion: behaviour is unchanged.

--- a/src/entry/load_sharing.ts
+++ b/src/entry/load_sharing.ts
@@ -121,7 +121,7 @@
    * @returns messages to send
    */
   onReport(report: OutcomeReport, nowMs: InstantMs): readonly Dispatch[] {
-    const {board, fleet, quarantine, failureDomain} = this.options;
+    const {board, fleet, quarantine} = this.options;
     for (const outcome of report.outcomes) {
       board.onPeerOutcomes(outcome, nowMs);
     }
@@ -129,9 +129,7 @@
     for (const {fingerprint, targetId} of fresh) {
       quarantine.onPeerImplication(fingerprint, targetId, nowMs);
     }
-    const isFromMember =
-      report.sender.failureDomain !== failureDomain || fleet.isHead;
-    if (fresh.length === 0 || !fleet.isHead || !isFromMember) {
+    if (fresh.length === 0 || !fleet.isHead) {
       return [];
     }
     return [this.implicationReport(fleet.heads.ownDomainHosts, fresh)];
--- /dev/null
+++ b/src/entry/load_sharing_test.ts
@@ -0,0 +1,148 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {SeededRandom} from '../core/index.js';
+import {FleetNode, type Dispatch, type MemberIdentity} from '../fleet/index.js';
+import {LoadBoard} from '../load/index.js';
+import {FingerprintQuarantine} from '../recovery/index.js';
+import type {KnownTarget} from '../registry/index.js';
+import {LoadSharing, type SharingWork} from './load_sharing.js';
+
+/** One VM, head of its failure domain unless it knows a better one. */
+class Vm {
+  readonly identity: MemberIdentity;
+  readonly fleet: FleetNode;
+  readonly board = new LoadBoard({failureDomain: 'a'});
+  readonly quarantine = new FingerprintQuarantine({quarantineTargets: 3});
+  readonly sharing: LoadSharing;
+
+  constructor(host: string, capacityMillicores: number) {
+    this.identity = {
+      vmId: host,
+      bootId: 1,
+      host,
+      failureDomain: 'a',
+      capacityMillicores,
+    };
+    const random = new SeededRandom({seed: 1});
+    const {identity, board, quarantine} = this;
+    this.fleet = new FleetNode({identity, random, startMs: 0});
+    this.fleet.setState('ready');
+    this.sharing = new LoadSharing({
+      host,
+      failureDomain: 'a',
+      fleet: this.fleet,
+      board,
+      quarantine,
+      maxProbesPerSecond: 60,
+      linkMbitPerSecond: 100,
+    });
+    board.syncTargets(TARGETS);
+  }
+
+  /** Lets this VM know others of its failure domain. */
+  meet(...others: readonly Vm[]): void {
+    for (const {fleet} of others) {
+      const sender = fleet.reportSelf();
+      const position = {revision: 0, ageMs: 0};
+      const sizes = {domainSize: 3, fleetSize: 3};
+      const message = {
+        type: 'heartbeat' as const,
+        sender,
+        position,
+        members: [],
+      };
+      this.fleet.onMessage({...message, ...sizes}, 0);
+    }
+    this.fleet.onTick(0);
+  }
+
+  tick(nowMs: number): SharingWork {
+    return this.sharing.onTick(TARGETS, nowMs);
+  }
+}
+
+function target(targetId: string, failureDomain: string): KnownTarget {
+  return {
+    targetId,
+    service: 's',
+    host: '127.0.0.1',
+    port: 80,
+    failureDomain,
+    slots: 6,
+    draining: false,
+    warmupRemainingMs: 0,
+    bornMs: 1,
+    coldUntilMs: -Infinity,
+  };
+}
+
+const TARGETS: ReadonlyMap<string, KnownTarget> = new Map(
+  [target('x', 'a'), target('y', 'b')].map(each => [each.targetId, each]),
+);
+
+/** A big VM, which is the acting head, a standby and a member. */
+function domain(): readonly [Vm, Vm, Vm] {
+  const vms = [
+    new Vm('h1', 8_000),
+    new Vm('h2', 2_000),
+    new Vm('m', 200),
+  ] as const;
+  vms.forEach(vm => vm.meet(...vms.filter(other => other !== vm)));
+  return [...vms];
+}
+
+function hostsOf(dispatches: readonly Dispatch[]): readonly string[] {
+  return dispatches.flatMap(({hosts}) => hosts);
+}
+
+test('the acting head alone probes the targets of its failure domain', () => {
+  // Guards against a cost of measuring that grows with the fleet.
+  const [head, standby, member] = domain();
+  assert.deepEqual(
+    head.tick(0).probes.map(({targetId}) => targetId),
+    ['x'],
+  );
+  assert.deepEqual(head.tick(50).probes, []);
+  assert.equal(head.tick(200).probes.length, 1);
+  const table = {type: 'load' as const, sender: head.fleet.reportSelf()};
+  standby.sharing.onTable({...table, observations: []}, 0);
+  assert.deepEqual(standby.tick(300).probes, []);
+  assert.deepEqual(member.tick(5_000).probes, []);
+  assert.equal(standby.tick(5_000).probes.length, 1);
+});
+
+test('a load table reaches the boards of the members', () => {
+  // Guards against members that choose without loads.
+  const [head, , member] = domain();
+  const load = {running: 5, waiting: 1, slots: 6, slowness: 3};
+  head.board.onSample('x', {...load, measuredMs: 0});
+  const [dispatch] = head.tick(10).dispatches;
+  assert.deepEqual(dispatch?.hosts.slice().sort(), ['h2', 'm']);
+  const {message} = dispatch!;
+  assert.ok(message.type === 'load');
+  member.sharing.onTable(message, 11);
+  const options = {service: 's', workMs: 100, excludedTargetIds: []};
+  const forecasts = member.board.forecasts(options, 11);
+  const found = forecasts.find(({targetId}) => targetId === 'x');
+  assert.equal(found?.slowness, 3);
+});
+
+test('outcomes go to the head, implications to all, each once', () => {
+  // Guards against failures that only one VM knows of.
+  const [head, standby, member] = domain();
+  member.board.onSent('x', 0);
+  member.board.onEnded('x', 'failed', 0);
+  member.quarantine.onCrash('x', ['poison'], 0);
+  const {dispatches} = member.tick(10);
+  assert.deepEqual(new Set(hostsOf(dispatches)), new Set(['h1', 'h2']));
+  const passedOn: Dispatch[] = [];
+  for (const {message} of dispatches) {
+    assert.ok(message.type === 'outcomes');
+    passedOn.push(...head.sharing.onReport(message, 11));
+    standby.sharing.onReport(message, 11);
+  }
+  assert.deepEqual(hostsOf(passedOn).slice().sort(), ['h2', 'm']);
+  assert.ok(head.quarantine.isImplicated('poison', 11));
+  assert.ok(standby.quarantine.isImplicated('poison', 11));
+  assert.deepEqual(member.tick(20).dispatches, []);
+});
