Count the risk that a target has become slow since its report

Ruled out: waits in the VM (p90 9 ms), full targets (none of the late ones).

Change: each VM learns which part of the statements comes from slow targets and how slow they are; the cost of a target includes the probability that it has become slow since it stated its load. The model gains targets that slow down when nearly full, a swing of the rate, callers that try again, the budget of probes and several routes.

--- a/bench/delivery_model.ts
+++ b/bench/delivery_model.ts
@@ -8,10 +8,12 @@
 import {
   DeliveryEngine,
   type DeliveryEffect,
+  type DeliveryOutcome,
   type RoutedRequest,
 } from '../src/delivery/index.js';
 import type {AttemptSignal} from '../src/engine/index.js';
 import {LoadBoard} from '../src/load/index.js';
+import {ProbeAllowance} from '../src/probing/index.js';
 import {FingerprintQuarantine} from '../src/recovery/index.js';
 import type {KnownTarget} from '../src/registry/index.js';
 import {RouteTable, type RouteRule} from '../src/routes/index.js';
@@ -26,6 +28,15 @@
 /** Interval at which VMs let due timers run. */
 const TIMER_STEP_MS = 5;
 
+/** Time for the last requests to end. */
+const DRAIN_MS = 3_000;
+
+/** Part of the worth that a late answer has. */
+const LATE_WORTH_SHARE = 0.1;
+
+/** Part of their remaining time for which callers wait as asked. */
+const MAX_WAIT_SHARE = 1 / 3;
+
 /** How a VM learns the loads of targets. */
 export type LoadSource =
   /** Only what the VM has in flight itself. */
@@ -37,19 +48,45 @@
   /** The true loads at each decision. */
   | 'oracle';
 
+/** One kind of request. */
+export interface ModelRoute {
+  readonly name: string;
+  /** Part of all requests, 0 to 1. */
+  readonly share: number;
+  readonly idempotent: boolean;
+  /** 0 is the most urgent. */
+  readonly rank: number;
+  /** Mean time of a request on an undisturbed target. */
+  readonly workMs: number;
+  readonly objectiveMs: number;
+  readonly timeoutMs: number;
+  /** Time that a caller waits from its first try. */
+  readonly deadlineMs: number;
+  /** Further tries of a caller. */
+  readonly retries: number;
+  /** Worth of an answer in time; late ones have a tenth of it. */
+  readonly worth: number;
+}
+
 /** Sizes and behaviour of one experiment. */
 export interface DeliveryScenario {
   readonly seed: number;
   readonly vmCount: number;
   readonly targetCount: number;
   readonly slots: number;
-  /** Mean time of a request on an undisturbed target. */
-  readonly workMs: number;
-  readonly objectiveMs: number;
+  /** Share of the slots from which on a target is slower, and how much. */
+  readonly kneeShare: number;
+  readonly kneeFactor: number;
+  readonly routes: readonly ModelRoute[];
   readonly requestsPerSecond: number;
+  /** Relative swing of the rate, and its period. */
+  readonly swing: number;
+  readonly swingPeriodMs: number;
   readonly durationMs: number;
   readonly loadSource: LoadSource;
   readonly reportIntervalMs: number;
+  /** Probes that all VMs together may ask of each target. */
+  readonly probesPerTargetSecond: number;
   /** Share of the targets that are slow at any time, and how slow. */
   readonly slowShare: number;
   readonly slowFactor: number;
@@ -63,9 +100,17 @@
   readonly late: number;
   readonly refused: number;
   readonly failed: number;
-  readonly durationsMs: readonly number[];
   readonly probes: number;
   readonly brokenOff: number;
+  /** Worth earned of all worth asked, 0 to 1. */
+  readonly worthShare: number;
+}
+
+/** A caller's request with all its tries. */
+interface Call {
+  readonly route: ModelRoute;
+  readonly firstMs: number;
+  triesLeft: number;
 }
 
 interface Running {
@@ -83,9 +128,16 @@
 
   constructor(
     private readonly queue: EventQueue,
-    private readonly slots: number,
+    private readonly scenario: DeliveryScenario,
   ) {}
 
+  /** Time that work takes now, as a multiple of the undisturbed time. */
+  private get pace(): number {
+    const {slots, kneeShare, kneeFactor} = this.scenario;
+    const isNearlyFull = this.running.length > slots * kneeShare;
+    return this.slowness * (isNearlyFull ? kneeFactor : 1);
+  }
+
   setSlowness(slowness: number, nowMs: number): void {
     this.advance(nowMs);
     this.slowness = slowness;
@@ -96,7 +148,7 @@
   accept(workMs: number, finish: () => void, nowMs: number): boolean {
     this.advance(nowMs);
     const request = {leftMs: workMs, finish};
-    if (this.running.length < this.slots) {
+    if (this.running.length < this.scenario.slots) {
       this.running.push(request);
     } else if (this.waiting.length < TARGET_QUEUE) {
       this.waiting.push(request);
@@ -108,7 +160,7 @@
   }
 
   private advance(nowMs: number): void {
-    const doneMs = (nowMs - this.updatedMs) / this.slowness;
+    const doneMs = (nowMs - this.updatedMs) / this.pace;
     this.running.forEach(request => (request.leftMs -= doneMs));
     this.updatedMs = nowMs;
   }
@@ -118,7 +170,7 @@
     const {version} = this;
     const leftMs = Math.min(...this.running.map(request => request.leftMs));
     if (Number.isFinite(leftMs)) {
-      const atMs = nowMs + Math.max(0, leftMs) * this.slowness;
+      const atMs = nowMs + Math.max(0, leftMs) * this.pace;
       this.queue.add(atMs, at => this.finishDue(version, at));
     }
   }
@@ -149,14 +201,23 @@
   private readonly known = new Map<string, KnownTarget>();
   private readonly vms: ModelVm[] = [];
   private requestCount = 0;
-  readonly durationsMs: number[] = [];
-  readonly counts = {late: 0, refused: 0, failed: 0, probes: 0, brokenOff: 0};
+  private tryCount = 0;
+  private readonly counts = {
+    inTime: 0,
+    late: 0,
+    refused: 0,
+    failed: 0,
+    probes: 0,
+    brokenOff: 0,
+  };
+  private askedWorth = 0;
+  private earnedWorth = 0;
 
   /** @param scenario - sizes and behaviour */
   constructor(readonly scenario: DeliveryScenario) {
     this.random = new SeededRandom({seed: scenario.seed});
     for (let index = 0; index < scenario.targetCount; index += 1) {
-      this.targets.push(new NoisyTarget(this.queue, scenario.slots));
+      this.targets.push(new NoisyTarget(this.queue, scenario));
       this.known.set(`x${index}`, knownTarget(index, scenario.slots));
       const phaseMs = this.random.nextFloat() * scenario.slowPeriodMs;
       this.queue.add(phaseMs, nowMs => this.changeSpeed(index, nowMs));
@@ -174,25 +235,22 @@
     if (loadSource === 'reports' || loadSource === 'asked') {
       this.queue.add(0, nowMs => this.report(nowMs));
     }
-    this.queue.runUntil(durationMs + 10 * this.scenario.objectiveMs);
-    const {objectiveMs} = this.scenario;
-    const inTime = this.durationsMs.filter(each => each <= objectiveMs).length;
+    this.queue.runUntil(durationMs + DRAIN_MS);
     return {
       asked: this.requestCount,
-      inTime,
       ...this.counts,
-      late: this.durationsMs.length - inTime,
-      durationsMs: this.durationsMs,
+      worthShare: this.earnedWorth / this.askedWorth,
     };
   }
 
   /** Sends a request to a target; the signal follows after its work. */
   dispatch(
     targetId: string,
+    meanWorkMs: number,
     onSignal: (signal: AttemptSignal, nowMs: number) => void,
     nowMs: number,
   ): void {
-    const workMs = this.scenario.workMs * Math.exp(0.3 * this.nextNormal());
+    const workMs = meanWorkMs * Math.exp(0.3 * this.nextNormal());
     this.queue.add(nowMs + ONE_WAY_MS, arrivedMs => {
       const finish = (): void => this.reply(targetId, onSignal);
       const target = this.targetOf(targetId);
@@ -271,20 +329,56 @@
   }
 
   private arrive(nowMs: number): void {
-    const {durationMs, requestsPerSecond, vmCount} = this.scenario;
+    const {durationMs, requestsPerSecond, routes} = this.scenario;
     if (nowMs > durationMs) {
       return;
     }
     this.requestCount += 1;
-    const vm = this.vms[this.random.nextInt(vmCount)];
-    vm?.request(`r${this.requestCount}`, nowMs);
+    const route = pickRoute(routes, this.random.nextFloat());
+    this.askedWorth += route.worth;
+    this.try({route, firstMs: nowMs, triesLeft: route.retries}, nowMs);
     const gapMs = -Math.log(1 - this.random.nextFloat()) * 1000;
-    this.queue.add(nowMs + gapMs / requestsPerSecond, at => this.arrive(at));
+    const rate = requestsPerSecond * this.swingAt(nowMs);
+    this.queue.add(nowMs + gapMs / rate, at => this.arrive(at));
+  }
+
+  private swingAt(nowMs: number): number {
+    const {swing, swingPeriodMs} = this.scenario;
+    return 1 + swing * Math.sin((2 * Math.PI * nowMs) / swingPeriodMs);
+  }
+
+  private try(call: Call, nowMs: number): void {
+    this.tryCount += 1;
+    const vm = this.vms[this.random.nextInt(this.scenario.vmCount)];
+    vm?.request(`r${this.tryCount}`, call, nowMs);
+  }
+
+  /** Notes what a caller gets; it tries again after a refusal. */
+  finish(call: Call, outcome: DeliveryOutcome, nowMs: number): void {
+    const {route, firstMs} = call;
+    const leftMs = firstMs + route.deadlineMs - nowMs;
+    if (outcome.type === 'response') {
+      const isInTime = nowMs - firstMs <= route.objectiveMs;
+      this.counts[isInTime ? 'inTime' : 'late'] += 1;
+      this.earnedWorth += route.worth * (isInTime ? 1 : LATE_WORTH_SHARE);
+      return;
+    }
+    const mayTryAgain = route.idempotent || outcome.verdict === 'not-run';
+    const waitMs = Math.min(
+      (outcome.retryAfterSeconds ?? 0) * 1000,
+      leftMs * MAX_WAIT_SHARE,
+    );
+    if (mayTryAgain && call.triesLeft > 0 && leftMs > 0) {
+      call.triesLeft -= 1;
+      this.queue.add(nowMs + waitMs, at => this.try(call, at));
+    } else {
+      this.counts[outcome.verdict === 'not-run' ? 'refused' : 'failed'] += 1;
+    }
   }
 
   private runTimers(nowMs: number): void {
     this.vms.forEach(vm => vm.onTimer(nowMs));
-    if (nowMs < this.scenario.durationMs + 5 * this.scenario.objectiveMs) {
+    if (nowMs < this.scenario.durationMs + DRAIN_MS) {
       this.queue.add(nowMs + TIMER_STEP_MS, at => this.runTimers(at));
     }
   }
@@ -292,9 +386,15 @@
   private report(nowMs: number): void {
     const {reportIntervalMs, durationMs} = this.scenario;
     for (const targetId of this.known.keys()) {
-      const load = {...this.loadOf(targetId), measuredMs: nowMs};
+      const observation = {
+        ...this.loadOf(targetId),
+        targetId,
+        ageMs: 0,
+        failureShare: 0,
+        isReachable: true,
+      };
       this.counts.probes += 1;
-      this.vms.forEach(vm => vm.board.onSample(targetId, load));
+      this.vms.forEach(vm => vm.board.onObservation(observation, nowMs));
     }
     this.vms.forEach(vm => vm.onNews(nowMs));
     if (nowMs < durationMs) {
@@ -312,7 +412,9 @@
 class ModelVm {
   readonly board = new LoadBoard({failureDomain: 'a'});
   private readonly engine: DeliveryEngine;
-  private readonly arrivedMs = new Map<string, number>();
+  private readonly calls = new Map<string, Call>();
+  private readonly probes = new ProbeAllowance();
+  private readonly probesPerSecond: number;
 
   constructor(
     private readonly model: DeliveryModel,
@@ -321,29 +423,35 @@
   ) {
     const {scenario} = model;
     this.board.syncTargets(known);
+    this.probesPerSecond =
+      (scenario.probesPerTargetSecond * scenario.targetCount) /
+      scenario.vmCount;
     this.engine = new DeliveryEngine({
       board: this.board,
       quarantine: new FingerprintQuarantine({quarantineTargets: 3}),
       random: new SeededRandom({seed: scenario.seed + index + 1}),
       resendLimit: {ratio: 0.2, allowance: 75, windowMs: 10_000},
       fleetSize: () => scenario.vmCount,
-      takeProbes: () => scenario.loadSource === 'asked',
+      takeProbes: (count, nowMs) =>
+        scenario.loadSource === 'asked' &&
+        this.probes.tryTake(count, this.probesPerSecond, nowMs),
     });
     this.engine.applyRoutes(routesOf(scenario));
   }
 
-  request(requestId: string, nowMs: number): void {
-    this.arrivedMs.set(requestId, nowMs);
+  request(requestId: string, call: Call, nowMs: number): void {
+    const {route, firstMs} = call;
+    this.calls.set(requestId, call);
     const request: RoutedRequest = {
       requestId,
       callId: requestId,
       host: 'desk.example',
       method: 'GET',
-      path: '/read/1',
+      path: `/${route.name}/1`,
       fingerprint: requestId,
       bodySizeBytes: 0,
       arrivedMs: nowMs,
-      deadlineMs: undefined,
+      deadlineMs: firstMs + route.deadlineMs,
     };
     this.perform(nowMs, () => this.engine.onRequest(request, nowMs));
   }
@@ -372,11 +480,12 @@
 
   private carryOut(effect: DeliveryEffect, nowMs: number): void {
     if (effect.type === 'send') {
-      const {token, targetId} = effect;
+      const {token, targetId, requestId} = effect;
+      const workMs = this.calls.get(requestId)?.route.workMs ?? 0;
       this.engine.onSignal(token, {type: 'sent'}, nowMs);
       const onSignal = (signal: AttemptSignal, atMs: number): void =>
         this.perform(atMs, () => this.engine.onSignal(token, signal, atMs));
-      this.model.dispatch(targetId, onSignal, nowMs);
+      this.model.dispatch(targetId, workMs, onSignal, nowMs);
     } else if (effect.type === 'ask') {
       this.ask(effect.requestId, effect.targetIds, nowMs);
     } else if (effect.type === 'respond') {
@@ -411,19 +520,25 @@
     {requestId, outcome}: Extract<DeliveryEffect, {readonly type: 'respond'}>,
     nowMs: number,
   ): void {
-    const {counts, durationsMs} = this.model;
-    const arrivedMs = this.arrivedMs.get(requestId) ?? nowMs;
-    this.arrivedMs.delete(requestId);
-    if (outcome.type === 'response') {
-      durationsMs.push(nowMs - arrivedMs);
-    } else if (outcome.verdict === 'not-run') {
-      counts.refused += 1;
-    } else {
-      counts.failed += 1;
+    const call = this.calls.get(requestId);
+    this.calls.delete(requestId);
+    if (call !== undefined) {
+      this.model.finish(call, outcome, nowMs);
     }
   }
 }
 
+function pickRoute(routes: readonly ModelRoute[], point: number): ModelRoute {
+  let left = point;
+  for (const route of routes) {
+    left -= route.share;
+    if (left < 0) {
+      return route;
+    }
+  }
+  throw new RangeError('shares of the routes sum to less than 1');
+}
+
 function knownTarget(index: number, slots: number): KnownTarget {
   return {
     targetId: `x${index}`,
@@ -439,21 +554,10 @@
   };
 }
 
-function routesOf({objectiveMs}: DeliveryScenario): RouteTable {
-  const rule: RouteRule = {
-    name: 'read',
-    host: 'desk.example',
-    pathPrefix: '/read/',
-    idempotent: true,
-    rank: 1,
-    objectiveMs,
-    timeoutMs: objectiveMs * 3,
-    maxAttempts: 2,
-    services: [{service: 's', weight: 1}],
-  };
+function routesOf({routes}: DeliveryScenario): RouteTable {
   return new RouteTable({
     version: 1,
-    rules: [rule],
+    rules: routes.map(ruleOf),
     services: [{name: 's', healthPath: '/h', maxConnectionsPerTarget: 300}],
     bounds: {
       maxHeadBytes: 1,
@@ -463,3 +567,18 @@
     },
   });
 }
+
+function ruleOf(route: ModelRoute): RouteRule {
+  const {name, idempotent, rank, objectiveMs, timeoutMs} = route;
+  return {
+    name,
+    host: 'desk.example',
+    pathPrefix: `/${name}/`,
+    idempotent,
+    rank,
+    objectiveMs,
+    timeoutMs,
+    maxAttempts: 2,
+    services: [{service: 's', weight: 1}],
+  };
+}
--- a/bench/table_delivery.ts
+++ b/bench/table_delivery.ts
@@ -1,6 +1,6 @@
 /**
  * Table: what callers get by the way in which VMs learn the loads of targets.
- * Arguments: `--seeds=N` (3 by default).
+ * Arguments: `--seeds=N` (3 by default), `--loads=asked,oracle` (all by default).
  *
  * @packageDocumentation
  */
@@ -10,6 +10,7 @@
   DeliveryModel,
   type DeliveryFigures,
   type LoadSource,
+  type ModelRoute,
 } from './delivery_model.js';
 
 /** Ways in the order of the rows. */
@@ -18,11 +19,45 @@
 /** Requests a second, for 29 targets of 3 slots and 83 ms of work. */
 const RATES: readonly number[] = [150, 300, 450, 600];
 
+/** Callers that repeat a read freely, and an order only if it has not run. */
+const ROUTES: readonly ModelRoute[] = [
+  {
+    name: 'read',
+    share: 0.7,
+    idempotent: true,
+    rank: 2,
+    workMs: 76,
+    objectiveMs: 250,
+    timeoutMs: 1_000,
+    deadlineMs: 2_000,
+    retries: 2,
+    worth: 1,
+  },
+  {
+    name: 'order',
+    share: 0.3,
+    idempotent: false,
+    rank: 1,
+    workMs: 100,
+    objectiveMs: 300,
+    timeoutMs: 1_200,
+    deadlineMs: 2_500,
+    retries: 2,
+    worth: 2,
+  },
+];
+
 /** First seed; the others follow. */
 const FIRST_SEED = 7_101;
 
-const {values} = parseArgs({options: {seeds: {type: 'string', default: '3'}}});
+const {values} = parseArgs({
+  options: {
+    seeds: {type: 'string', default: '3'},
+    loads: {type: 'string', default: SOURCES.join(',')},
+  },
+});
 const seedCount = Number(values.seeds);
+const sources = SOURCES.filter(each => values.loads.split(',').includes(each));
 
 function runAll(
   loadSource: LoadSource,
@@ -34,12 +69,16 @@
       vmCount: 24,
       targetCount: 29,
       slots: 3,
-      workMs: 83,
-      objectiveMs: 250,
+      kneeShare: 0.8,
+      kneeFactor: 1.7,
+      routes: ROUTES,
       requestsPerSecond,
+      swing: 0.5,
+      swingPeriodMs: 15_000,
       durationMs: 15_000,
       loadSource,
       reportIntervalMs: 200,
+      probesPerTargetSecond: 50,
       slowShare: 0.35,
       slowFactor: 7,
       slowPeriodMs: 500,
@@ -61,6 +100,7 @@
 const table = new BenchTable([
   'requests/s',
   'loads',
+  'worth %',
   'in time %',
   'late %',
   'refused %',
@@ -69,13 +109,16 @@
   'probes/request',
 ]);
 for (const rate of RATES) {
-  for (const source of SOURCES) {
+  for (const source of sources) {
     const runs = runAll(source, rate);
     const probes = runs.reduce((sum, each) => sum + each.probes, 0);
     const asked = runs.reduce((sum, each) => sum + each.asked, 0);
     table.add(
       String(rate),
       source,
+      formatShare(
+        runs.reduce((sum, each) => sum + each.worthShare, 0) / runs.length,
+      ),
       shareOf(runs, each => each.inTime),
       shareOf(runs, each => each.late),
       shareOf(runs, each => each.refused),
--- a/src/delivery/delivery_events.ts
+++ b/src/delivery/delivery_events.ts
@@ -26,6 +26,7 @@
   options: {readonly routesVersion: number; readonly nowMs: InstantMs},
 ): DeliveryEvent {
   const {targetId, durationMs, loadAgeMs, failureShare} = forecast;
+  const {freeSlots, slowness} = forecast;
   return {
     name: 'send',
     details: {
@@ -38,6 +39,8 @@
       loadAgeMs: Number.isFinite(loadAgeMs)
         ? Math.round(loadAgeMs)
         : UNKNOWN_AGE_MS,
+      freeSlots: roundShare(freeSlots),
+      slowness: roundShare(slowness),
       failureShare: roundShare(failureShare),
       cost: roundShare(cost),
       waitedMs: Math.round(options.nowMs - request.arrivedMs),
@@ -91,6 +94,7 @@
       status,
       targetId: attempt?.targetId ?? '',
       attempts: attempts.length,
+      sinceSentMs: Math.round(nowMs - (attempt?.sentMs ?? nowMs)),
       elapsedMs: Math.round(nowMs - request.arrivedMs),
     },
   };
--- a/src/load/choose_target.ts
+++ b/src/load/choose_target.ts
@@ -100,8 +100,13 @@
   const {durationMs, failureShare, isOwnDomain} = forecast;
   const elapsedMs = needs.objectiveMs - needs.objectiveInMs;
   const ratio = (elapsedMs + durationMs) / needs.objectiveMs;
+  const expectedShare = lateShareOf(ratio);
+  const surprisedShare = lateShareOf(
+    (elapsedMs + forecast.surpriseDurationMs) / needs.objectiveMs,
+  );
   const lateShare =
-    1 / (1 + Math.exp((LATE_MIDPOINT - ratio) * LATE_STEEPNESS));
+    expectedShare +
+    forecast.surpriseShare * Math.max(0, surprisedShare - expectedShare);
   const isTooLate = durationMs > needs.deadlineInMs;
   const unserved = isTooLate
     ? 1
@@ -110,6 +115,11 @@
   return unserved + distance + ratio * TIME_COST;
 }
 
+/** Probability of a late answer, by the expected share of the objective. */
+function lateShareOf(ratio: number): number {
+  return 1 / (1 + Math.exp((LATE_MIDPOINT - ratio) * LATE_STEEPNESS));
+}
+
 function pickWeighted(
   choices: readonly TargetChoice[],
   random: RandomSource,
--- a/src/load/index.ts
+++ b/src/load/index.ts
@@ -17,6 +17,7 @@
   type DurationInputs,
 } from './forecast.js';
 export {LoadBoard, type LoadBoardOptions} from './load_board.js';
+export {SLOW_FROM, SpeedStatistics} from './speed_statistics.js';
 export {TargetRecord} from './target_record.js';
 export type {LoadSample, TargetForecast, TargetOutcome} from './types.js';
 export {WorkEstimate} from './work_estimate.js';
--- a/src/load/load_board.ts
+++ b/src/load/load_board.ts
@@ -7,7 +7,8 @@
 import type {OutcomeCount, TargetObservation} from '../fleet/index.js';
 import type {ServiceLoad} from '../limits/index.js';
 import type {KnownTarget} from '../registry/index.js';
-import {expectedDurationMs} from './forecast.js';
+import {expectedDurationMs, SPEED_PERIOD_MS} from './forecast.js';
+import {SLOW_FROM, SpeedStatistics} from './speed_statistics.js';
 import {TargetRecord} from './target_record.js';
 import type {LoadSample, TargetForecast, TargetOutcome} from './types.js';
 
@@ -32,6 +33,7 @@
 export class LoadBoard {
   private readonly records = new Map<string, TargetRecord>();
   private byService = new Map<string, TargetRecord[]>();
+  private readonly speeds = new SpeedStatistics();
   private meanSpeed = 1 / INITIAL_MEAN_SLOWNESS;
 
   /** @param options - place of this VM */
@@ -145,6 +147,7 @@
     if (record?.onSample(sample) === true) {
       const speed = 1 / Math.max(1, sample.slowness);
       this.meanSpeed += (speed - this.meanSpeed) * MEAN_GAIN;
+      this.speeds.observe(sample.slowness);
     }
   }
 
@@ -264,6 +267,12 @@
       freeSlots: Math.max(0, target.slots - inFlight),
       loadAgeMs,
       slowness,
+      surpriseShare:
+        slowness > SLOW_FROM
+          ? 0
+          : this.speeds.slowShare * Math.min(1, loadAgeMs / SPEED_PERIOD_MS),
+      surpriseDurationMs:
+        (durationMs / Math.max(1, slowness)) * this.speeds.slowFactor,
     };
   }
 }
--- a/src/load/load_board_test.ts
+++ b/src/load/load_board_test.ts
@@ -158,6 +158,23 @@
   assert.ok(costOf(slowNear, NEEDS) > costOf(far, NEEDS));
 });
 
+test('a target that was fast some time ago is less sure than one that is', () => {
+  // Guards against sends to targets that have become slow since their report.
+  const board = boardOf(known('old'), known('young'));
+  const load = {running: 0, waiting: 0, slots: 6};
+  for (let index = 0; index < 300; index += 1) {
+    const slowness = index % 3 === 0 ? 7 : 1;
+    board.onSample('old', {...load, slowness, measuredMs: index});
+  }
+  board.onSample('old', {...load, slowness: 1, measuredMs: 1000});
+  board.onSample('young', {...load, slowness: 1, measuredMs: 1300});
+  const old = forecastOf(board, 'old', 1300);
+  const young = forecastOf(board, 'young', 1300);
+  assert.ok(costOf(old, NEEDS) > costOf(young, NEEDS) + 0.1);
+  const patient = {...NEEDS, objectiveMs: 4000, objectiveInMs: 4000};
+  assert.ok(costOf(old, patient) < costOf(young, patient) + 0.1);
+});
+
 test('full targets are not chosen, and equals share by free slots', () => {
   // Guards against VMs that all send to the same target.
   const fast = forecastOf(boardOf(known('x')), 'x', 0);
--- a/src/load/types.ts
+++ b/src/load/types.ts
@@ -41,4 +41,8 @@
   /** Age of the load that the forecast rests on; infinite without one. */
   readonly loadAgeMs: number;
   readonly slowness: number;
+  /** Probability that the target has become slow since it stated its load. */
+  readonly surpriseShare: number;
+  /** Expected time if it has. */
+  readonly surpriseDurationMs: number;
 }
