--- a/bench/delivery_model.ts
+++ b/bench/delivery_model.ts
@@ -18,13 +18,11 @@
 import type {KnownTarget} from '../src/registry/index.js';
 import {RouteTable, type RouteRule} from '../src/routes/index.js';
 import {EventQueue} from './event_queue.js';
+import {NoisyTarget} from './noisy_target.js';
 
 /** One way between a VM and a target, in milliseconds. */
 const ONE_WAY_MS = 0.3;
 
-/** Requests that a target queues; it breaks off those beyond. */
-const TARGET_QUEUE = 6;
-
 /** Interval at which VMs let due timers run. */
 const TIMER_STEP_MS = 5;
 
@@ -113,86 +111,6 @@
   triesLeft: number;
 }
 
-interface Running {
-  readonly finish: () => void;
-  leftMs: number;
-}
-
-/** Processor of slots whose speed changes; work goes on at the new speed. */
-class NoisyTarget {
-  slowness = 1;
-  readonly running: Running[] = [];
-  readonly waiting: Running[] = [];
-  private updatedMs = 0;
-  private version = 0;
-
-  constructor(
-    private readonly queue: EventQueue,
-    private readonly scenario: DeliveryScenario,
-  ) {}
-
-  /** Time that work takes now, as a multiple of the undisturbed time. */
-  private get pace(): number {
-    const {slots, kneeShare, kneeFactor} = this.scenario;
-    const isNearlyFull = this.running.length > slots * kneeShare;
-    return this.slowness * (isNearlyFull ? kneeFactor : 1);
-  }
-
-  setSlowness(slowness: number, nowMs: number): void {
-    this.advance(nowMs);
-    this.slowness = slowness;
-    this.schedule(nowMs);
-  }
-
-  /** Returns false if the target is full. */
-  accept(workMs: number, finish: () => void, nowMs: number): boolean {
-    this.advance(nowMs);
-    const request = {leftMs: workMs, finish};
-    if (this.running.length < this.scenario.slots) {
-      this.running.push(request);
-    } else if (this.waiting.length < TARGET_QUEUE) {
-      this.waiting.push(request);
-    } else {
-      return false;
-    }
-    this.schedule(nowMs);
-    return true;
-  }
-
-  private advance(nowMs: number): void {
-    const doneMs = (nowMs - this.updatedMs) / this.pace;
-    this.running.forEach(request => (request.leftMs -= doneMs));
-    this.updatedMs = nowMs;
-  }
-
-  private schedule(nowMs: number): void {
-    this.version += 1;
-    const {version} = this;
-    const leftMs = Math.min(...this.running.map(request => request.leftMs));
-    if (Number.isFinite(leftMs)) {
-      const atMs = nowMs + Math.max(0, leftMs) * this.pace;
-      this.queue.add(atMs, at => this.finishDue(version, at));
-    }
-  }
-
-  private finishDue(version: number, nowMs: number): void {
-    if (version !== this.version) {
-      return;
-    }
-    this.advance(nowMs);
-    const due = this.running.filter(({leftMs}) => leftMs <= 1e-6);
-    for (const request of due) {
-      this.running.splice(this.running.indexOf(request), 1);
-      request.finish();
-      const next = this.waiting.shift();
-      if (next !== undefined) {
-        this.running.push(next);
-      }
-    }
-    this.schedule(nowMs);
-  }
-}
-
 /** One experiment. */
 export class DeliveryModel {
   private readonly queue = new EventQueue();
