Finish requests that arrive while a daemon announces its departure

Trace: 1-21957-238 reached e-02 at 59.782, on a connection from before; e-02 had left since 57.932, had found no open request, and was in the farewell of 1 s that follows; it ended at 00.117 with the request at its second target. Nothing waited for requests that came after the first look.

Change: the shutdown waits for open requests again after the hand-over, and then closes callers' connections at once, before other parts are closed, so that nothing is read that cannot be finished. The entry daemon looks and ends in one step and is not concerned; its bundle is unchanged.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -303,16 +303,15 @@
     log.info(`leaving, callers have ${settings.leaveDelayMs} ms to notice`);
     events.record('process', 'leaving', {});
     this.state = 'leaving';
-    const shutdown = new PlannedShutdown(this.parts);
-    await shutdown.finishRequests();
-    await shutdown.handOver();
+    await new PlannedShutdown(this.parts).run();
+    // At once: what is not read now must not reach a target any more.
+    callers.destroy();
     this.timers.forEach(clearInterval);
     this.parts.targets.close();
     this.operator.close();
     await this.parts.reader.stop();
     await this.parts.peerServer.stop();
     await this.parts.transport.close();
-    callers.destroy();
     log.info('all requests are finished, ending');
     this.markEnded();
   }
--- a/src/daemon/planned_shutdown.ts
+++ b/src/daemon/planned_shutdown.ts
@@ -47,8 +47,7 @@
  * @example
  * ```ts
  * const shutdown = new PlannedShutdown(parts);
- * await shutdown.finishRequests();
- * await shutdown.handOver();
+ * await shutdown.run();
  * ```
  */
 export class PlannedShutdown {
@@ -56,29 +55,44 @@
   constructor(private readonly parts: ShutdownParts) {}
 
   /**
-   * Lets callers notice, closes the caller port and finishes what is open.
+   * Finishes requests, hands records over, and finishes what has arrived
+   * meanwhile on connections that were open before.
    *
    * @returns when no request and no settlement is open
    */
-  async finishRequests(): Promise<void> {
-    const {settings, callers, engine, claims} = this.parts;
+  async run(): Promise<void> {
+    await this.closePort();
+    await this.finishOpen();
+    await this.handOver();
+    await this.finishOpen();
+  }
+
+  /** Lets callers notice, and closes the caller port. */
+  private async closePort(): Promise<void> {
+    const {settings, callers} = this.parts;
     callers.beginDrain();
     await sleep(settings.leaveDelayMs);
     await this.waitForQuiet();
     callers.stopListening();
     await sleep(LINGER_MS);
-    await waitUntil(() => callers.openCount === 0);
-    await waitUntil(() => engine.inFlightCount() === 0);
-    await waitUntil(() => claims.openSettlementCount === 0);
+  }
+
+  /** Waits until no request and no settlement is open. */
+  private async finishOpen(): Promise<void> {
+    const {callers, engine, claims} = this.parts;
+    await waitUntil(
+      () =>
+        callers.openCount === 0 &&
+        engine.inFlightCount() === 0 &&
+        claims.openSettlementCount === 0,
+    );
   }
 
   /**
    * Hands the records of keys over and, if that worked, announces the
-   * departure.
-   *
-   * @returns when peers had time to hear of it
+   * departure and gives peers time to hear of it.
    */
-  async handOver(): Promise<void> {
+  private async handOver(): Promise<void> {
     const {home, book, clock, transport, claims, membership, log} = this.parts;
     home.stopTaking();
     const {lastEvictionMs} = book.summary();
