Judge drains and crashing requests by their promises, not by waits

Cause: drain.sh slept 1.5 s for the first request at the target that drains first; crashing_request.sh counted two crashes of one restarted target as two targets. Change: drain.sh waits for a request at each target that drains; the checker takes the first crash of a second target as the bound, and rejects a third.

--- a/tests/checkers/crashes.ts
+++ b/tests/checkers/crashes.ts
@@ -11,27 +11,39 @@
 import {Findings, readLedgers, readTrace} from './records.js';
 
 const QUARANTINE_STATUS = '422';
-const MAX_CRASH_COUNT = 2;
+/** Different targets that may crash before all VMs refuse the request. */
+const MAX_CRASHED_TARGET_COUNT = 2;
 
 const [folder = '.', vmCount = '0'] = process.argv.slice(2);
 const findings = new Findings();
 const ledger = readLedgers(folder);
 const crashes = ledger.filter(entry => entry.type === 'crash');
-const secondCrashMs = crashes[1]?.atMs ?? Infinity;
-// Copies that arrived before the second crash cannot be prevented from running.
+// A target that crashes again after a restart is no further evidence against the
+// request, so the bound is the first crash of a second target.
+const firstCrashMs = new Map<string, number>();
+for (const {target, atMs} of crashes) {
+  firstCrashMs.set(target, firstCrashMs.get(target) ?? atMs);
+}
+const boundMs =
+  [...firstCrashMs.values()][MAX_CRASHED_TARGET_COUNT - 1] ?? Infinity;
+// Copies that arrived before the bound cannot be prevented from running.
 const avoidableRuns = ledger.filter(
   entry =>
     entry.type === 'run' &&
     (entry.id ?? '').startsWith('poison') &&
-    entry.atMs > secondCrashMs,
+    entry.atMs > boundMs,
+);
+findings.expect(
+  firstCrashMs.size >= MAX_CRASHED_TARGET_COUNT,
+  'too few targets crashed for the check',
 );
 findings.expect(
-  crashes.length >= MAX_CRASH_COUNT,
-  'too few crashes for the check',
+  firstCrashMs.size <= MAX_CRASHED_TARGET_COUNT,
+  `${firstCrashMs.size} targets crashed`,
 );
 findings.expect(
   avoidableRuns.length === 0,
-  `${avoidableRuns.length} copies ran after the second crash`,
+  `${avoidableRuns.length} copies ran after the crash of a second target`,
 );
 
 const lines = readFileSync(join(folder, 'poison.txt'), 'utf8').trim();
@@ -57,6 +69,7 @@
 findings.expect(inFlightCount > 0, 'no read was in flight at a crash');
 findings.printVerdict({
   crashes: crashes.length,
+  'crashed targets': firstCrashMs.size,
   'copies of the request': answers.length,
   'reads in flight at crashes': inFlightCount,
   reads: reads.length,
--- a/tests/lib/fleet.sh
+++ b/tests/lib/fleet.sh
@@ -249,6 +249,17 @@
   caller_pid=$!
 }
 
+# await_arrival TARGET: waits until a request has arrived at a target.
+await_arrival() {
+  local attempt
+  for attempt in $(seq 300); do
+    grep -h '"type":"arrival"' "$folder"/*.ledger 2>/dev/null |
+      grep -q "\"target\":\"$1\"" && return
+    sleep 0.1
+  done
+  fail "no request arrived at $1"
+}
+
 # expect_answer NUMBER: fails unless a daemon answers a read.
 expect_answer() {
   curl -sf --retry 5 --retry-all-errors -H 'x-service: growers-desk' \
--- a/tests/processes/drain.sh
+++ b/tests/processes/drain.sh
@@ -14,7 +14,7 @@
 echo "only $reader sees new documents"
 platform_mode "$(stale_readers_except "$reader" 4)"
 caller_start
-sleep 1.5
+for target in t-01 t-02 t-07 t-08; do await_arrival "$target"; done
 target_control 1 '{"target": "t-01", "action": "drain-by-load"}'
 sleep 0.5
 target_control 2 '{"target": "t-02", "action": "drain-by-header"}'
