Accept only a target's own response and bound the bytes around it

Change: native targets echo x-request-token; without the echo a connection is used once. Bytes before a head, framing and informational responses are bounded; bytes on an idle connection close it; a streamed body ends 30 s after its deadline. A violation is logged.

--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -20,6 +20,7 @@
   attemptFailedEvent,
   refuseEvent,
   sendEvent,
+  violationEvent,
 } from './delivery_events.js';
 import {buildRefusal} from './refusal.js';
 import {RouteStatisticsTable} from './route_statistics.js';
@@ -444,6 +445,9 @@
       delivery.lastFailure = 'unreachable';
       this.retryOrGiveUp(delivery, attempt, 'unreachable', nowMs);
     } else if (signal.type === 'lost') {
+      if (signal.violation !== undefined) {
+        this.log(violationEvent(delivery, attempt, signal.violation));
+      }
       this.onLost(delivery, attempt, nowMs);
     } else {
       attempt.verdict = signal.bytesSent ? 'may-have-run' : 'not-run';
--- a/src/delivery/delivery_events.ts
+++ b/src/delivery/delivery_events.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type {InstantMs} from '../core/index.js';
+import type {ResponseViolation} from '../engine/index.js';
 import type {TargetChoice} from '../load/index.js';
 import type {ServiceLoad} from '../limits/index.js';
 import type {Delivery, DeliveryAttempt} from './delivery.js';
@@ -71,6 +72,23 @@
   };
 }
 
+/**
+ * Builds the log event of a target that violated the protocol.
+ *
+ * @param delivery - request
+ * @param attempt - attempt whose connection was closed
+ * @param violation - kind of violation
+ * @returns event to log
+ */
+export function violationEvent(
+  {request}: Delivery,
+  {targetId}: DeliveryAttempt,
+  violation: ResponseViolation,
+): DeliveryEvent {
+  const {callId} = request;
+  return {name: 'target-violation', details: {callId, targetId, violation}};
+}
+
 /**
  * Builds the log event of a response that is forwarded.
  *
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -69,6 +69,21 @@
   readonly slowness: number;
 }
 
+/**
+ * Violation of HTTP or of the target protocol: `foreign`: the response belongs
+ * to another request; `endless-head`, `endless-informational`,
+ * `endless-framing`: bytes without end that are no response; `unsolicited`:
+ * bytes while no request was in flight; `endless-body`: a body that went on
+ * after the deadline of its request.
+ */
+export type ResponseViolation =
+  | 'foreign'
+  | 'endless-head'
+  | 'endless-informational'
+  | 'endless-framing'
+  | 'endless-body'
+  | 'unsolicited';
+
 /** Signal about an attempt from the target adapter. */
 export type AttemptSignal =
   /**
@@ -101,6 +116,8 @@
       readonly type: 'lost';
       /** A new connection to the target is refused. */
       readonly crashed: boolean;
+      /** Why the adapter closed the connection of a misbehaving target. */
+      readonly violation?: ResponseViolation;
       /**
        * The adapter closed the connection because it was silent while others
        * answered. Counts as a fault of the connection, not of the target.
--- a/src/standins/target_standin.ts
+++ b/src/standins/target_standin.ts
@@ -336,6 +336,10 @@
     splitMs = 0,
   ): void {
     const text = JSON.stringify(body);
+    const token = response.req.headers['x-request-token'];
+    if (token !== undefined) {
+      response.setHeader('x-request-token', token);
+    }
     const missingByteCount = this.faults.truncate && status === 200 ? 10 : 0;
     response.setHeader('content-type', 'application/json');
     response.setHeader('content-length', text.length + missingByteCount);
--- a/src/target_http/connection_pool.ts
+++ b/src/target_http/connection_pool.ts
@@ -118,7 +118,10 @@
     for (const connection of [...this.connections]) {
       if (this.isSilent(connection, nowMs)) {
         this.failSilent(connection, nowMs);
-      } else if (connection.stalledMs(nowMs) > MAX_BODY_STALL_MS) {
+      } else if (
+        connection.stalledMs(nowMs) > MAX_BODY_STALL_MS ||
+        connection.isOverdue(nowMs)
+      ) {
         this.drop(connection);
       }
     }
@@ -280,6 +283,12 @@
       this.requeueUnsent(attempt);
       return;
     }
+    const {violation} = connection;
+    if (violation !== undefined) {
+      attempt.finish({type: 'lost', crashed: false, violation});
+      this.openForWaiting();
+      return;
+    }
     if (!this.options.protocol.timing.detectsCrashes) {
       attempt.finish({type: 'lost', crashed: false});
       this.openForWaiting();
--- a/src/target_http/index.ts
+++ b/src/target_http/index.ts
@@ -36,6 +36,7 @@
 export {
   TargetProtocol,
   type ConnectionTiming,
+  type ResponseHead,
   type ResponseReport,
 } from './target_protocol.js';
 export {
--- a/src/target_http/native_target_protocol.ts
+++ b/src/target_http/native_target_protocol.ts
@@ -9,6 +9,7 @@
 import {
   TargetProtocol,
   type ConnectionTiming,
+  type ResponseHead,
   type ResponseReport,
 } from './target_protocol.js';
 
@@ -17,6 +18,12 @@
  */
 export const PROVEN_WINDOW_MS = 1_000;
 
+/** Token of an attempt, which targets echo in their responses. */
+const TOKEN_HEADER = 'x-request-token';
+
+/** Status that servers send unasked before they close an idle connection. */
+const STATUS_REQUEST_TIMEOUT = 408;
+
 /** Time after which a connection attempt fails. */
 const CONNECT_TIMEOUT_MS = 1_000;
 
@@ -42,13 +49,30 @@
     return [
       'x-timeout-ms',
       String(Math.max(1, Math.floor(remainingMs))),
-      'x-request-token',
+      TOKEN_HEADER,
       request.token,
     ];
   }
 
-  override accepts(): boolean {
-    return true;
+  /**
+   * Reports whether a response belongs to the attempt: it must echo the token.
+   * Without an echo it is accepted only on a connection that carried no earlier
+   * request, whose response it could repeat, and not if it may be the notice of
+   * an idle timeout.
+   */
+  override accepts(
+    request: AttemptRequest,
+    {status, headers, isFirstOnConnection}: ResponseHead,
+  ): boolean {
+    const token = headers[TOKEN_HEADER];
+    if (token !== undefined) {
+      return token === request.token;
+    }
+    return isFirstOnConnection && status !== STATUS_REQUEST_TIMEOUT;
+  }
+
+  override allowsReuse(headers: HeaderFields): boolean {
+    return headers[TOKEN_HEADER] !== undefined;
   }
 
   override readReport(status: number, headers: HeaderFields): ResponseReport {
--- a/src/target_http/target_connection.ts
+++ b/src/target_http/target_connection.ts
@@ -10,6 +10,7 @@
 import type {Socket} from 'node:net';
 import {Client, type Dispatcher, type buildConnector} from 'undici';
 import type {InstantMs} from '../core/index.js';
+import type {ResponseViolation} from '../engine/index.js';
 import type {HeaderFields} from '../caller_http/hop_headers.js';
 import type {Attempt} from './attempt.js';
 import type {TargetProtocol} from './target_protocol.js';
@@ -24,6 +25,22 @@
 /** Maximum size of a response head. */
 const MAX_RESPONSE_HEAD_BYTES = 32 * 1024;
 
+/** Most bytes before the end of a final head, informational ones included. */
+const MAX_BYTES_BEFORE_BODY = 64 * 1024;
+
+/** Most informational responses before a final one. */
+const MAX_INFORMATIONAL_COUNT = 16;
+
+/**
+ * Most bytes of chunk framing in a body: a fixed part, and a part for each byte
+ * of the body, since a chunk of one byte is framed by five.
+ */
+const MAX_FRAMING_BYTES = 64 * 1024;
+const MAX_FRAMING_PER_BODY_BYTE = 8;
+
+/** Time after its deadline for which a body may still be streamed. */
+const MAX_BODY_OVERTIME_MS = 30_000;
+
 /** Receives the events of a connection. */
 export interface ConnectionListener {
   /** Called when the response is complete and the connection is free again. */
@@ -61,6 +78,10 @@
   private progress = {bytesRead: 0, sinceMs: 0};
   private isSocketProvided = false;
   private bytesReadAtSend = 0;
+  private bytesReadAtRelease = 0;
+  private requestCount = 0;
+  private response: TargetResponse | undefined;
+  private firstViolation: ResponseViolation | undefined;
 
   /** @param options - socket, origin, clock, protocol and listener */
   constructor(options: ConnectionOptions) {
@@ -88,6 +109,11 @@
     return !this.isClosed && !this.socket.destroyed;
   }
 
+  /** First violation of the protocol by the target; undefined for none. */
+  get violation(): ResponseViolation | undefined {
+    return this.firstViolation;
+  }
+
   /** The attempt in flight. */
   get attempt(): Attempt | undefined {
     return this.currentAttempt;
@@ -131,6 +157,8 @@
    */
   send(attempt: Attempt, headers: string[]): void {
     this.currentAttempt = attempt;
+    this.response = undefined;
+    this.requestCount += 1;
     const {method, path, body} = attempt.request;
     this.client.dispatch(
       {
@@ -160,6 +188,20 @@
     return nowMs - this.progress.sinceMs;
   }
 
+  /**
+   * Returns whether a body is streamed for too long after the deadline of its
+   * request. Such a body has no end that its caller would wait for.
+   *
+   * @param nowMs - current instant in milliseconds
+   */
+  isOverdue(nowMs: InstantMs): boolean {
+    return (
+      this.streamedResponse !== undefined &&
+      this.currentAttempt !== undefined &&
+      nowMs > this.currentAttempt.request.deadlineMs + MAX_BODY_OVERTIME_MS
+    );
+  }
+
   /** Closes the connection at once without calling the listener. */
   destroy(): void {
     this.isClosed = true;
@@ -199,20 +241,33 @@
 
   private createHandler(attempt: Attempt): Dispatcher.DispatchHandler {
     let response: TargetResponse | undefined;
+    let informationalCount = 0;
     return {
       onRequestStart: controller => {
         this.bytesReadAtSend = this.socket.bytesRead;
+        if (this.bytesReadAtSend > this.bytesReadAtRelease) {
+          this.firstViolation ??= 'unsolicited';
+          controller.abort(new Error('bytes before the request'));
+          return;
+        }
+        this.watchBytes();
         if (!attempt.markSent(this.nowMs())) {
           controller.abort(new Error('cancelled before the first byte'));
         }
       },
       onResponseStart: (controller, status) => {
         if (status < 200) {
+          informationalCount += 1;
+          if (informationalCount > MAX_INFORMATIONAL_COUNT) {
+            this.reportViolation('endless-informational');
+          }
           return;
         }
         const headers = decodeHeaders(controller.rawHeaders);
-        if (!this.protocol.accepts(attempt.request, status, headers)) {
-          this.reportClosed();
+        const isFirstOnConnection = this.requestCount === 1;
+        const head = {status, headers, isFirstOnConnection};
+        if (!this.protocol.accepts(attempt.request, head)) {
+          this.reportViolation('foreign');
           return;
         }
         response = new TargetResponse(attempt.request.token, status, headers, {
@@ -220,6 +275,7 @@
           resume: () => controller.resume(),
           abort: () => this.reportClosed(),
         });
+        this.response = response;
       },
       onResponseData: (_controller, chunk) => {
         if (response !== undefined) {
@@ -277,11 +333,17 @@
   }
 
   private release(response: TargetResponse): void {
-    const connectionHeader = String(response.headers['connection'] ?? '');
-    if (!this.isUsable || /\bclose\b/i.test(connectionHeader)) {
+    const {headers} = response;
+    const announcesClose = /\bclose\b/i.test(String(headers['connection']));
+    if (
+      !this.isUsable ||
+      announcesClose ||
+      !this.protocol.allowsReuse(headers)
+    ) {
       this.reportClosed();
       return;
     }
+    this.bytesReadAtRelease = this.socket.bytesRead;
     this.listener.onReleased(this);
   }
 
@@ -291,6 +353,47 @@
     attempt.finish({type: 'response', status, ...report}, response);
   }
 
+  /**
+   * Bounds the bytes that are no response. The parser skips some of them without
+   * a callback, for example blank lines before a head and chunk extensions. It
+   * has registered its own listener before, so each chunk has been parsed here.
+   */
+  private watchBytes(): void {
+    if (this.requestCount === 1) {
+      this.socket.on('readable', () => this.checkBytes());
+    }
+  }
+
+  private checkBytes(): void {
+    const {bytesRead} = this.socket;
+    if (this.currentAttempt === undefined) {
+      if (bytesRead > this.bytesReadAtRelease) {
+        this.reportViolation('unsolicited');
+      }
+      return;
+    }
+    const receivedBytes = bytesRead - this.bytesReadAtSend;
+    if (this.response === undefined) {
+      if (receivedBytes > MAX_BYTES_BEFORE_BODY) {
+        this.reportViolation('endless-head');
+      }
+      return;
+    }
+    const {receivedBodyBytes} = this.response;
+    const maxBytes =
+      MAX_BYTES_BEFORE_BODY +
+      MAX_FRAMING_BYTES +
+      receivedBodyBytes * (1 + MAX_FRAMING_PER_BODY_BYTE);
+    if (receivedBytes > maxBytes) {
+      this.reportViolation('endless-framing');
+    }
+  }
+
+  private reportViolation(violation: ResponseViolation): void {
+    this.firstViolation ??= violation;
+    this.reportClosed();
+  }
+
   /**
    * Distinguishes a reset from an orderly end. A reset right after the last
    * bytes is reported as `end` too, but a socket that was reset no longer has a
--- a/src/target_http/target_protocol.ts
+++ b/src/target_http/target_protocol.ts
@@ -21,6 +21,15 @@
   readonly misdirected?: boolean;
 }
 
+/** Head of a final response, as received on a connection. */
+export interface ResponseHead {
+  readonly status: number;
+  /** Fields with lower-case names. */
+  readonly headers: HeaderFields;
+  /** Whether the request is the first one on its connection. */
+  readonly isFirstOnConnection: boolean;
+}
+
 /** Timing of connections to targets. */
 export interface ConnectionTiming {
   /** Time after which a connection attempt fails. */
@@ -60,15 +69,20 @@
    * connection is closed and the attempt counts as lost.
    *
    * @param request - request of the attempt
-   * @param status - HTTP status code
-   * @param headers - fields with lower-case names
+   * @param head - head of the response
    * @returns true to accept the response
    */
-  abstract accepts(
-    request: AttemptRequest,
-    status: number,
-    headers: HeaderFields,
-  ): boolean;
+  abstract accepts(request: AttemptRequest, head: ResponseHead): boolean;
+
+  /**
+   * Returns whether a connection may carry another request after a response.
+   * It may not if a second copy of the response could be mistaken for the
+   * response to the next request.
+   *
+   * @param headers - fields of the response with lower-case names
+   * @returns true if the connection may be reused
+   */
+  abstract allowsReuse(headers: HeaderFields): boolean;
 
   /**
    * Reads the report in the headers of a response. Malformed values are treated
--- a/src/target_http/target_response.ts
+++ b/src/target_http/target_response.ts
@@ -31,6 +31,7 @@
 export class TargetResponse {
   private readonly buffered: Buffer[] = [];
   private bufferedSizeBytes = 0;
+  private receivedSizeBytes = 0;
   private state: 'open' | 'complete' | 'broken' = 'open';
   private sink: BodySink | undefined;
 
@@ -52,6 +53,11 @@
     return this.state === 'complete';
   }
 
+  /** Size of the part of the body that has arrived. */
+  get receivedBodyBytes(): number {
+    return this.receivedSizeBytes;
+  }
+
   /** Size of the part of the body that was buffered. */
   get sizeBytes(): number {
     return this.bufferedSizeBytes;
@@ -108,6 +114,7 @@
    * @internal
    */
   push(chunk: Buffer, pauseAtBytes: number): void {
+    this.receivedSizeBytes += chunk.length;
     if (this.sink !== undefined) {
       if (!this.sink.write(chunk)) {
         this.source.pause();
