Refuse what a stopping VM cannot finish

Arrivals were refused only from 3.4 s on, and a request that could not finish was sent all the same. Change: from the signal on, a request whose forecast, doubled, ends after the stop is refused as not run, at once and with a short retry delay; from 2.8 s on all arrivals are.

--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -54,6 +54,12 @@
 /** Time allowed for load probes; within a failure domain they take 1 ms. */
 const PROBE_TIMEOUT_MS = 8;
 
+/**
+ * Multiple of the forecast duration that must remain before the end of a
+ * planned stop.
+ */
+const STOP_MARGIN_FACTOR = 2;
+
 /** Options of {@link DeliveryEngine}. */
 export interface DeliveryEngineOptions {
   readonly board: LoadBoard;
@@ -80,7 +86,8 @@
  */
 export class DeliveryEngine {
   private table: RouteTable | undefined;
-  private isLeaving = false;
+  private isRefusingAll = false;
+  private endsAtMs: InstantMs = Infinity;
   private readonly split = new WeightedSplit();
   private readonly deliveries = new Map<string, Delivery>();
   private readonly deliveriesByToken = new Map<string, Delivery>();
@@ -114,9 +121,19 @@
     this.table = table;
   }
 
+  /**
+   * Begins a planned stop: from now on, requests that are not expected to be
+   * answered before the end are refused, so that another VM can serve them.
+   *
+   * @param endsAtMs - instant at which open requests are aborted
+   */
+  beginLeaving(endsAtMs: InstantMs): void {
+    this.endsAtMs = endsAtMs;
+  }
+
   /** Refuses all requests that arrive from now on. */
-  beginLeaving(): void {
-    this.isLeaving = true;
+  refuseArrivals(): void {
+    this.isRefusingAll = true;
   }
 
   /**
@@ -159,7 +176,7 @@
     if (rule === undefined) {
       return this.refuseOnArrival(request, 'no-route');
     }
-    if (this.isLeaving) {
+    if (this.isRefusingAll) {
       return this.refuseOnArrival(request, 'leaving');
     }
     const service = this.split.next(rule, this.options.random.nextFloat());
@@ -331,7 +348,9 @@
     const choice = hasCapacity
       ? this.selection.choose(delivery, forecasts, nowMs)
       : undefined;
-    if (choice !== undefined) {
+    if (choice !== undefined && !this.canFinish(choice, nowMs)) {
+      this.giveUp(delivery, 'leaving', nowMs);
+    } else if (choice !== undefined) {
       this.send(delivery, choice, nowMs);
     } else if (nowMs < delivery.waitUntilMs) {
       this.waiting.add(delivery);
@@ -340,6 +359,11 @@
     }
   }
 
+  /** Returns whether a response is expected before the end of a stop. */
+  private canFinish({forecast}: TargetChoice, nowMs: InstantMs): boolean {
+    return nowMs + forecast.durationMs * STOP_MARGIN_FACTOR < this.endsAtMs;
+  }
+
   /** Probes the best targets with outdated load; false if none is probed. */
   private probe(
     delivery: Delivery,
--- a/src/delivery/delivery_engine_test.ts
+++ b/src/delivery/delivery_engine_test.ts
@@ -517,3 +517,46 @@
     {seed: 61, numRuns: 400},
   );
 });
+
+test('while stopping, only requests that can finish are sent', () => {
+  // Guards against requests that are accepted and then cut off at the end of a
+  // planned stop, while another VM could serve them.
+  const harness = new Harness();
+  harness.reportIdle();
+  harness.engine.beginLeaving(harness.nowMs + 6_000);
+  const early = harness.request(SAFE);
+  assert.equal(harness.sends.length, 1);
+  harness.endAttempt(harness.sends[0], responseSignal());
+  assert.equal(harness.status(early), 'response');
+  harness.advance(5_950);
+  harness.reportIdle();
+  for (const rule of [SAFE, UNSAFE]) {
+    const late = harness.request(rule);
+    const outcome = harness.outcome(late);
+    assert.ok(outcome?.type === 'refusal');
+    assert.equal(outcome.status, 503);
+    assert.equal(outcome.verdict, 'not-run');
+    assert.ok((outcome.retryAfterSeconds ?? 1) < 0.1);
+  }
+  assert.equal(harness.sends.length, 1);
+});
+
+test('arrivals are refused once another VM has to serve them', () => {
+  const harness = new Harness();
+  harness.reportIdle();
+  const open = harness.request(SAFE);
+  harness.engine.refuseArrivals();
+  assert.equal(harness.status(harness.request(SAFE)), 503);
+  harness.endAttempt(harness.sends[0], responseSignal());
+  assert.equal(harness.status(open), 'response');
+});
+
+function responseSignal(): AttemptSignal {
+  return {
+    type: 'response',
+    status: 200,
+    refused: false,
+    draining: false,
+    inFlight: undefined,
+  };
+}
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -55,6 +55,13 @@
 /** Timeout of a fetch from a peer, in milliseconds. */
 const FETCH_TIMEOUT_MS = 400;
 
+/**
+ * Time from the stop signal until all arriving requests are refused, in
+ * milliseconds. A later one would be cut off if its target is slow, while
+ * another VM can still serve it.
+ */
+const REFUSE_ARRIVALS_DELAY_MS = 2_800;
+
 /**
  * Time from the stop signal until new connections are refused, in milliseconds.
  * The platform's load balancer checks readiness every second and removes a VM
@@ -218,20 +225,19 @@
     fleet.setState('leaving');
     this.sendAll(fleet.announce(clock.nowMs()));
     callers.beginDrain();
-    this.timers.push(
-      setTimeout(() => this.stopListening(), STOP_LISTENING_DELAY_MS),
-    );
     const {stopGraceMs} = this.parts.settings;
+    const endDelayMs = stopGraceMs - STOP_MARGIN_MS;
+    engine.beginLeaving(clock.nowMs() + endDelayMs);
     this.timers.push(
-      setTimeout(() => this.end(), stopGraceMs - STOP_MARGIN_MS),
+      setTimeout(() => engine.refuseArrivals(), REFUSE_ARRIVALS_DELAY_MS),
+      setTimeout(() => this.stopListening(), STOP_LISTENING_DELAY_MS),
     );
+    this.timers.push(setTimeout(() => this.end(), endDelayMs));
   }
 
   private stopListening(): void {
     this.parts.callers.stopListening();
     this.parts.callers.closeIdle();
-    // A request that arrives on a busy connection now could not finish in time.
-    this.parts.engine.beginLeaving();
     this.parts.log.info('process', 'stopped listening');
     const check = (): void => {
       const {engine, callers} = this.parts;
