Use a subset of the targets of a large service

Change: of a service of over 48 targets, each VM uses 32 by rank hashes, 24 of its own domain; equal targets are probed in random order; an outdated report approaches the mean load of the service in place of zero.

--- a/src/delivery/target_selection.ts
+++ b/src/delivery/target_selection.ts
@@ -118,7 +118,8 @@
     if (forecasts.length === 1) {
       return [];
     }
-    return rankTargets(forecasts, this.needsOf(delivery, nowMs))
+    const needs = this.needsOf(delivery, nowMs);
+    return rankTargets(forecasts, needs, this.options.random)
       .slice(0, PROBED_TARGET_COUNT)
       .filter(({forecast}) => forecast.loadAgeMs > FRESH_LOAD_MS)
       .map(({forecast}) => forecast.targetId);
--- a/src/entry/composition_root.ts
+++ b/src/entry/composition_root.ts
@@ -100,7 +100,7 @@
   container.bind(PublishedState).toDynamicValue(() => new PublishedState());
   container
     .bind(LoadBoard)
-    .toDynamicValue(() => new LoadBoard({failureDomain}));
+    .toDynamicValue(() => new LoadBoard({failureDomain, vmKey: settings.host}));
   container.bind(CrashQuarantine).toDynamicValue(
     () =>
       new FingerprintQuarantine({
--- a/src/load/choose_target.ts
+++ b/src/load/choose_target.ts
@@ -79,19 +79,26 @@
 }
 
 /**
- * Sorts targets by cost.
+ * Sorts targets by cost, nearly equal ones at random. In a fixed order, all VMs
+ * that know nothing of a set of targets would select the same few.
  *
  * @param forecasts - candidates
  * @param needs - requirements of the request
+ * @param random - source of random numbers
  * @returns candidates with their cost, lowest first
  */
 export function rankTargets(
   forecasts: readonly TargetForecast[],
   needs: RequestNeeds,
+  random: RandomSource,
 ): readonly TargetChoice[] {
   return forecasts
-    .map(forecast => ({forecast, cost: costOf(forecast, needs)}))
-    .sort((a, b) => a.cost - b.cost);
+    .map(forecast => {
+      const cost = costOf(forecast, needs);
+      const order = cost + random.nextFloat() * COST_TOLERANCE;
+      return {forecast, cost, order};
+    })
+    .sort((a, b) => a.order - b.order);
 }
 
 /**
--- a/src/load/load_board.ts
+++ b/src/load/load_board.ts
@@ -10,6 +10,7 @@
 import {expectedDurationMs, SPEED_PERIOD_MS} from './forecast.js';
 import {SLOW_THRESHOLD, SpeedStatistics} from './speed_statistics.js';
 import {TargetRecord} from './target_record.js';
+import {selectSubset, subsetRank} from './target_subset.js';
 import type {LoadReport, TargetForecast, TargetOutcome} from './types.js';
 
 /** Mean slowness before the first report. */
@@ -18,21 +19,37 @@
 /** Weight of one report in the mean speed. */
 const MEAN_GAIN = 0.01;
 
+/** Weight of one report in the mean load of a service. */
+const LOAD_GAIN = 0.05;
+
 /** Failure share from which on a target does not count as capacity. */
 const MAX_FAILURE_SHARE = 0.7;
 
 /** Options of {@link LoadBoard}. */
 export interface LoadBoardOptions {
   readonly failureDomain: string;
+  /** Identity of this VM, which determines its subsets; '' by default. */
+  readonly vmKey?: string;
+}
+
+/** Targets of a service that may receive requests. */
+interface ServiceTargets {
+  /** Targets that this VM uses. */
+  readonly records: readonly TargetRecord[];
+  /** Slots of all targets, divided by those of the used ones. */
+  readonly slotRatio: number;
 }
 
+const NO_TARGETS: ServiceTargets = {records: [], slotRatio: 1};
+
 /**
  * Load of all targets, from reports on responses and probes and from peers,
  * corrected by the attempts that this VM has started or ended since.
  */
 export class LoadBoard {
   private readonly records = new Map<string, TargetRecord>();
-  private byService = new Map<string, TargetRecord[]>();
+  private byService = new Map<string, ServiceTargets>();
+  private readonly meanLoadShares = new Map<string, number>();
   private readonly speeds = new SpeedStatistics();
   private meanSpeed = 1 / INITIAL_MEAN_SLOWNESS;
 
@@ -57,20 +74,13 @@
     for (const target of targets.values()) {
       const record = this.records.get(target.targetId);
       if (record === undefined) {
-        this.records.set(target.targetId, new TargetRecord(target));
+        const rank = subsetRank(this.options.vmKey ?? '', target.targetId);
+        this.records.set(target.targetId, new TargetRecord(target, rank));
       } else {
         record.register(target);
       }
     }
-    this.byService = new Map();
-    for (const record of this.records.values()) {
-      if (record.isEligible) {
-        const {service} = record.target;
-        const records = this.byService.get(service) ?? [];
-        records.push(record);
-        this.byService.set(service, records);
-      }
-    }
+    this.divideServices();
   }
 
   /**
@@ -84,37 +94,41 @@
   }
 
   /**
-   * Lists the targets of a service that may receive requests.
+   * Lists the targets of a service that this VM may send requests to.
    *
    * @param service - name of the service
    * @returns targets in no particular order
    */
   eligibleTargets(service: string): readonly KnownTarget[] {
-    return (this.byService.get(service) ?? []).map(({target}) => target);
+    return this.targetsOf(service).records.map(({target}) => target);
   }
 
   /**
-   * Sums the load of a service.
+   * Sums the load of a service, extrapolated from the targets that this VM uses.
    *
    * @param service - name of the service
    * @param nowMs - current instant in milliseconds
    * @returns slots and in-flight requests of all VMs
    */
   serviceLoad(service: string, nowMs: InstantMs): ServiceLoad {
+    const {records, slotRatio} = this.targetsOf(service);
     let slotCount = 0;
     let inFlightCount = 0;
-    for (const record of this.byService.get(service) ?? []) {
+    for (const record of records) {
       if (record.failureShare(nowMs) < MAX_FAILURE_SHARE) {
         slotCount += record.target.slots;
-        inFlightCount += record.inFlight(nowMs);
+        inFlightCount += this.inFlightOf(record, nowMs);
       }
     }
-    return {slotCount, inFlightCount};
+    return {
+      slotCount: slotCount * slotRatio,
+      inFlightCount: inFlightCount * slotRatio,
+    };
   }
 
   /** Returns the number of open attempts of this VM at a service. */
   ownInFlight(service: string): number {
-    const records = this.byService.get(service) ?? [];
+    const {records} = this.targetsOf(service);
     return records.reduce((sum, record) => sum + record.ownInFlight, 0);
   }
 
@@ -148,6 +162,7 @@
       const speed = 1 / Math.max(1, report.slowness);
       this.meanSpeed += (speed - this.meanSpeed) * MEAN_GAIN;
       this.speeds.observe(report.slowness);
+      this.observeLoad(record.target.service, report);
     }
   }
 
@@ -191,7 +206,7 @@
   ): readonly TargetForecast[] {
     const {service, workMs, excludedTargetIds} = options;
     const forecasts: TargetForecast[] = [];
-    for (const record of this.byService.get(service) ?? []) {
+    for (const record of this.targetsOf(service).records) {
       if (!excludedTargetIds.includes(record.target.targetId)) {
         forecasts.push(this.forecast(record, workMs, nowMs));
       }
@@ -240,6 +255,48 @@
     return outcomes;
   }
 
+  private targetsOf(service: string): ServiceTargets {
+    return this.byService.get(service) ?? NO_TARGETS;
+  }
+
+  private divideServices(): void {
+    const {failureDomain} = this.options;
+    const eligible = new Map<string, TargetRecord[]>();
+    for (const record of this.records.values()) {
+      if (record.isEligible) {
+        const {service} = record.target;
+        const records = eligible.get(service) ?? [];
+        records.push(record);
+        eligible.set(service, records);
+      }
+    }
+    this.byService = new Map();
+    for (const [service, all] of eligible) {
+      const candidates = all.map(record => ({
+        record,
+        rank: record.rank,
+        isLocalDomain: record.target.failureDomain === failureDomain,
+      }));
+      const records = selectSubset(candidates).map(({record}) => record);
+      const slotRatio = slotCountOf(all) / Math.max(1, slotCountOf(records));
+      this.byService.set(service, {records, slotRatio});
+    }
+  }
+
+  private observeLoad(
+    service: string,
+    {running, waiting, slots}: LoadReport,
+  ): void {
+    const mean = this.meanLoadShares.get(service) ?? 0;
+    const share = (running + waiting) / Math.max(1, slots);
+    this.meanLoadShares.set(service, mean + (share - mean) * LOAD_GAIN);
+  }
+
+  private inFlightOf(record: TargetRecord, nowMs: InstantMs): number {
+    const mean = this.meanLoadShares.get(record.target.service) ?? 0;
+    return record.inFlight(mean, nowMs);
+  }
+
   private forecast(
     record: TargetRecord,
     workMs: number,
@@ -247,7 +304,7 @@
   ): TargetForecast {
     const {target} = record;
     const meanSlowness = 1 / this.meanSpeed;
-    const inFlight = record.inFlight(nowMs);
+    const inFlight = this.inFlightOf(record, nowMs);
     const loadAgeMs = record.loadAgeMs(nowMs);
     const slowness = Number.isFinite(loadAgeMs)
       ? record.slowness
@@ -280,3 +337,7 @@
     };
   }
 }
+
+function slotCountOf(records: readonly TargetRecord[]): number {
+  return records.reduce((sum, {target}) => sum + target.slots, 0);
+}
--- a/src/load/target_record.ts
+++ b/src/load/target_record.ts
@@ -40,8 +40,14 @@
   private answeredCount = 0;
   private failedCount = 0;
 
-  /** @param target - target as registered */
-  constructor(target: KnownTarget) {
+  /**
+   * @param target - target as registered
+   * @param rank - rank of the target in subsets of this VM
+   */
+  constructor(
+    target: KnownTarget,
+    readonly rank: string,
+  ) {
     this.registration = target;
   }
 
@@ -154,10 +160,17 @@
       : Math.max(0, nowMs - this.report.measuredMs);
   }
 
-  /** Returns the expected number of requests at the target. */
-  inFlight(nowMs: InstantMs): number {
+  /**
+   * Returns the expected number of requests at the target. With the age of its
+   * report, the expectation approaches the mean of the service.
+   *
+   * @param meanLoadShare - requests per slot at targets of the service
+   * @param nowMs - current instant in milliseconds
+   */
+  inFlight(meanLoadShare: number, nowMs: InstantMs): number {
+    const meanCount = meanLoadShare * this.registration.slots;
     if (this.report === undefined) {
-      return this.ownCount;
+      return Math.max(this.ownCount, meanCount);
     }
     const {running, waiting, measuredMs} = this.report;
     const deltaSinceReport = this.inFlightChanges.reduce(
@@ -165,8 +178,9 @@
       0,
     );
     const weight = 0.5 ** ((nowMs - measuredMs) / LOAD_HALF_LIFE_MS);
-    const reported = (running + waiting + deltaSinceReport) * weight;
-    return Math.max(this.ownCount, reported);
+    const reported = running + waiting + deltaSinceReport;
+    const expected = reported * weight + meanCount * (1 - weight);
+    return Math.max(this.ownCount, expected);
   }
 
   /** Returns the probability that an attempt fails, 0 to 1. */
