Keep load tables within datagrams and a member's budget

Change: tables come in parts; above 6 KB/s for a member they list only targets that fail or cannot be reached; a head sends at most 100 periodic probes a second. Measured: tests with 575 and 2,000 targets.

--- a/src/entry/load_sharing.ts
+++ b/src/entry/load_sharing.ts
@@ -26,6 +26,22 @@
 /** Encoded size of one report in a load table, in bytes. */
 const REPORT_BYTES = 26;
 
+/**
+ * Most bytes of load tables that a member receives per second. Above that,
+ * tables list only targets to avoid, and VMs learn loads by the probes that they
+ * send before a request.
+ */
+const MAX_TABLE_BYTES_PER_SECOND = 6_000;
+
+/** Interval of tables that list only targets to avoid, in milliseconds. */
+const AVOIDED_TABLE_INTERVAL_MS = 400;
+
+/** Failure share from which on a target is listed as one to avoid. */
+const MIN_AVOIDED_FAILURE_SHARE = 0.1;
+
+/** Most reports in one message, which keeps it within a datagram. */
+const MAX_REPORTS_PER_MESSAGE = 100;
+
 /** Share of the VM's link bandwidth that load tables may use. */
 const TABLE_LINK_SHARE = 0.08;
 
@@ -38,6 +54,9 @@
 /** Shortest interval of periodic probes of one target, in milliseconds. */
 const PROBE_INTERVAL_MS = 200;
 
+/** Most periodic probes of a head per second, however large its domain. */
+const MAX_PERIODIC_PROBES_PER_SECOND = 100;
+
 /**
  * Time without a load table of the acting head, in milliseconds, after which
  * the standby takes over.
@@ -70,7 +89,9 @@
  * Distributes target loads through the fleet. The acting head of a failure
  * domain probes the domain's targets, sends their loads to the acting heads of
  * other domains, and sends all known loads to the members of its own domain.
- * Thus each target is probed by one VM, and every VM has every load.
+ * Thus each target is probed by one VM, and every VM has every load. In a large
+ * fleet, tables list only targets that fail or cannot be reached, so that their
+ * size does not grow with the number of targets.
  */
 export class LoadSharing {
   private nextTableMs: InstantMs = 0;
@@ -164,13 +185,21 @@
   private addDueTables(dispatches: Dispatch[], nowMs: InstantMs): void {
     const {fleet, board, failureDomain} = this.options;
     if (nowMs >= this.nextTableMs) {
-      const reports = board.reports(undefined, nowMs);
+      const {reports, minIntervalMs} = this.tableFor(
+        board.reports(undefined, nowMs),
+      );
       const hosts = fleet.roles.localPeers;
-      this.addTableDispatch(dispatches, hosts, reports);
+      this.addTableDispatches(dispatches, hosts, reports);
+      if (reports.length === 0) {
+        // Tells the standby that this head is alive.
+        const heads = fleet.roles.localHeads.filter(
+          host => host !== this.options.host,
+        );
+        this.addTableDispatch(dispatches, heads, []);
+      }
       const bytes = hosts.length * reports.length * REPORT_BYTES;
       const budgetIntervalMs = (bytes * 1000) / this.tableBytesPerSecond;
-      this.nextTableMs =
-        nowMs + Math.max(MIN_TABLE_INTERVAL_MS, budgetIntervalMs);
+      this.nextTableMs = nowMs + Math.max(minIntervalMs, budgetIntervalMs);
     }
     if (nowMs >= this.nextCrossDomainTableMs) {
       this.nextCrossDomainTableMs = nowMs + CROSS_DOMAIN_TABLE_INTERVAL_MS;
@@ -178,7 +207,36 @@
         hosts.slice(0, 1),
       );
       const domainReports = board.reports(failureDomain, nowMs);
-      this.addTableDispatch(dispatches, actingHeadHosts, domainReports);
+      const {reports} = this.tableFor(domainReports);
+      this.addTableDispatches(dispatches, actingHeadHosts, reports);
+    }
+  }
+
+  /** Selects the reports of a table, and its shortest interval, by its size. */
+  private tableFor(all: readonly TargetLoadReport[]): {
+    readonly reports: readonly TargetLoadReport[];
+    readonly minIntervalMs: number;
+  } {
+    const bytesPerSecond =
+      (all.length * REPORT_BYTES * 1000) / MIN_TABLE_INTERVAL_MS;
+    if (bytesPerSecond <= MAX_TABLE_BYTES_PER_SECOND) {
+      return {reports: all, minIntervalMs: MIN_TABLE_INTERVAL_MS};
+    }
+    const reports = all.filter(
+      ({isReachable, failureShare}) =>
+        !isReachable || failureShare >= MIN_AVOIDED_FAILURE_SHARE,
+    );
+    return {reports, minIntervalMs: AVOIDED_TABLE_INTERVAL_MS};
+  }
+
+  private addTableDispatches(
+    dispatches: Dispatch[],
+    hosts: readonly string[],
+    reports: readonly TargetLoadReport[],
+  ): void {
+    for (let i = 0; i < reports.length; i += MAX_REPORTS_PER_MESSAGE) {
+      const part = reports.slice(i, i + MAX_REPORTS_PER_MESSAGE);
+      this.addTableDispatch(dispatches, hosts, part);
     }
   }
 
@@ -188,7 +246,7 @@
     reports: readonly TargetLoadReport[],
   ): void {
     const {fleet} = this.options;
-    if (hosts.length === 0 || reports.length === 0) {
+    if (hosts.length === 0) {
       return;
     }
     dispatches.push({
@@ -206,12 +264,18 @@
     nowMs: InstantMs,
   ): readonly KnownTarget[] {
     const {failureDomain, maxProbesPerSecond} = this.options;
-    const intervalMs = Math.max(PROBE_INTERVAL_MS, 2_000 / maxProbesPerSecond);
+    const probed = [...targets.values()].filter(
+      target => target.failureDomain === failureDomain && !target.draining,
+    );
+    const intervalMs = Math.max(
+      PROBE_INTERVAL_MS,
+      2_000 / maxProbesPerSecond,
+      (probed.length * 1000) / MAX_PERIODIC_PROBES_PER_SECOND,
+    );
     const due: KnownTarget[] = [];
-    for (const target of targets.values()) {
+    for (const target of probed) {
       const lastMs = this.lastProbeMs.get(target.targetId) ?? -Infinity;
-      const isOwn = target.failureDomain === failureDomain;
-      if (isOwn && !target.draining && nowMs - lastMs >= intervalMs) {
+      if (nowMs - lastMs >= intervalMs) {
         this.lastProbeMs.set(target.targetId, nowMs);
         due.push(target);
       }
--- a/src/entry/load_sharing_test.ts
+++ b/src/entry/load_sharing_test.ts
@@ -6,6 +6,7 @@
 import {FingerprintQuarantine} from '../recovery/index.js';
 import type {KnownTarget} from '../registry/index.js';
 import {knownTarget} from '../registry/target_fixture.js';
+import {encodeMessage, MAX_DATAGRAM_BYTES} from '../peer_datagram/index.js';
 import {LoadSharing, type SharingActions} from './load_sharing.js';
 
 /**
@@ -140,3 +141,68 @@
   assert.ok(standby.quarantine.isImplicated('poison', 11));
   assert.deepEqual(member.tick(20).dispatches, []);
 });
+
+test('a table of many targets lists those to avoid, within datagrams', () => {
+  // Guards against tables that exceed a datagram, which are not sent: then no
+  // member has any load, and the standby probes as well.
+  const targets = new Map(
+    Array.from({length: 575}, (_, index) => {
+      const target = knownTarget(`i-${index}`);
+      return [target.targetId, target] as const;
+    }),
+  );
+  const [head, standby, member] = createDomain();
+  for (const {board} of [head, standby, member]) {
+    board.syncTargets(targets);
+  }
+  const load = {running: 1, waiting: 0, slots: 6, slowness: 1, measuredMs: 0};
+  for (const targetId of targets.keys()) {
+    head.board.onLoadReport(targetId, load);
+  }
+  assert.deepEqual(
+    head.sharing
+      .onTick(targets, 10)
+      .dispatches.map(({hosts, message}) => [
+        hosts,
+        message.type === 'load' ? message.reports.length : undefined,
+      ]),
+    [[['h2'], 0]],
+    'only a sign of life for the standby',
+  );
+  for (let index = 0; index < 230; index += 1) {
+    head.board.onProbed(`i-${index}`, false, 900);
+  }
+  const {dispatches} = head.sharing.onTick(targets, 1_000);
+  const reported = new Set<string>();
+  for (const {hosts, message} of dispatches) {
+    assert.ok(encodeMessage(message).length <= MAX_DATAGRAM_BYTES);
+    assert.ok(message.type === 'load');
+    assert.deepEqual([...hosts].sort(), ['h2', 'm']);
+    member.sharing.onTable(message, 1_001);
+    message.reports.forEach(({targetId}) => reported.add(targetId));
+  }
+  assert.equal(reported.size, 230);
+  const options = {service: 's', workMs: 100, excludedTargetIds: []};
+  for (const forecast of member.board.forecasts(options, 1_001)) {
+    const isListed = reported.has(forecast.targetId);
+    assert.equal(forecast.failureShare > 0.9, isListed);
+  }
+});
+
+test('the probes of a head do not grow with its targets', () => {
+  // Guards against a head that has no processor time left for its callers.
+  for (const targetCount of [100, 500, 2_000]) {
+    const targets = new Map(
+      Array.from({length: targetCount}, (_, index) => {
+        const target = knownTarget(`i-${index}`);
+        return [target.targetId, target] as const;
+      }),
+    );
+    const [head] = createDomain();
+    let probeCount = 0;
+    for (let nowMs = 0; nowMs < 40_000; nowMs += 50) {
+      probeCount += head.sharing.onTick(targets, nowMs).probes.length;
+    }
+    assert.ok(probeCount <= 40 * 100 + targetCount, `${probeCount} probes`);
+  }
+});
