Bound what peers and the store can send

Cause: seeded mutation of datagrams (seed 19) found a failure share of 1.01 and negative ages, which count as confirmations from the future; a fleet size of 2^31 would have stopped all resends and probes for 12 s; a body without end from the store or a peer was collected until the timeout. Change: ages, sizes and loads are at least 0, shares at most 1, a fleet of more than 100,000 VMs is ignored, and a body of more than 16 MiB is malformed.

--- /dev/null
+++ b/src/entry/peer_message_fuzz_test.ts
@@ -0,0 +1,171 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {SeededRandom} from '../core/index.js';
+import {FleetNode, type FleetMessage} from '../fleet/index.js';
+import {LoadBoard} from '../load/index.js';
+import {decodeMessage, encodeMessage} from '../peer_datagram/index.js';
+import {FingerprintQuarantine} from '../recovery/index.js';
+import {PublishedState} from '../registry/index.js';
+import {knownTarget, registeredTarget} from '../registry/target_fixture.js';
+import {LoadSharing} from './load_sharing.js';
+
+/** Inputs per run; FUZZ_RUNS sets more for a long run by hand. */
+const RUN_COUNT = Number(process.env['FUZZ_RUNS'] ?? 3_000);
+
+const SENDER = {
+  vmId: 'front-a-1',
+  bootId: 7,
+  host: '10.0.0.9',
+  failureDomain: 'a',
+  capacityMillicores: 400,
+  state: 'ready',
+  isReadFailing: false,
+  ageMs: 0,
+} as const;
+
+const POSITION = {revision: 3, ageMs: 40};
+
+const MESSAGES: readonly FleetMessage[] = [
+  {
+    type: 'heartbeat',
+    sender: SENDER,
+    position: POSITION,
+    members: [{...SENDER, host: '10.0.0.8', ageMs: 90}],
+    domainSize: 2,
+    fleetSize: 6,
+  },
+  {
+    type: 'changes',
+    sender: SENDER,
+    position: POSITION,
+    delta: {
+      afterRevision: 2,
+      revision: 3,
+      changes: [
+        {type: 'target', revision: 3, target: registeredTarget('x')},
+        {type: 'target-removed', revision: 3, targetId: 'y'},
+      ],
+    },
+  },
+  {
+    type: 'load',
+    sender: SENDER,
+    reports: [
+      {
+        targetId: 'x',
+        running: 1,
+        waiting: 2,
+        slots: 6,
+        slowness: 1.5,
+        ageMs: 30,
+        failureShare: 0.25,
+        isReachable: true,
+      },
+    ],
+  },
+  {
+    type: 'outcomes',
+    sender: SENDER,
+    outcomes: [{targetId: 'x', answeredCount: 3, failedCount: 1}],
+    implications: [{fingerprint: 'f', targetId: 'x'}],
+  },
+];
+
+interface Mutation {
+  readonly position: number;
+  readonly byte: number;
+}
+
+const mutations = fc.array(
+  fc.record({
+    position: fc.nat({max: 400}),
+    byte: fc.nat({max: 255}),
+  }),
+  {minLength: 1, maxLength: 6},
+);
+
+function mutate(
+  bytes: Uint8Array,
+  changes: readonly Mutation[],
+  keptShare: number,
+): Uint8Array {
+  const length = Math.ceil(bytes.length * keptShare);
+  const mutated = Uint8Array.from(bytes.subarray(0, length));
+  for (const {position, byte} of changes) {
+    mutated[position % Math.max(1, length)] = byte;
+  }
+  return mutated;
+}
+
+/** Checks that a VM which received a message can still divide its budgets. */
+function assertUsable(message: FleetMessage): void {
+  const identity = {...SENDER, vmId: 'self', host: '10.0.0.1'};
+  const fleet = new FleetNode({
+    identity,
+    random: new SeededRandom({seed: 1}),
+    startMs: 0,
+  });
+  const board = new LoadBoard({failureDomain: 'a'});
+  board.syncTargets(new Map([['x', knownTarget('x')]]));
+  const quarantine = new FingerprintQuarantine({quarantineTargetCount: 3});
+  const sharing = new LoadSharing({
+    host: identity.host,
+    failureDomain: 'a',
+    fleet,
+    board,
+    quarantine,
+    maxProbesPerSecond: 60,
+    linkMbitPerSecond: 100,
+  });
+  const {update} = fleet.onMessage(message, 1_000);
+  if (message.type === 'load') {
+    sharing.onTable(message, 1_000);
+  } else if (message.type === 'outcomes') {
+    sharing.onReport(message, 1_000);
+  }
+  if (update.delta !== undefined) {
+    new PublishedState().offerDelta(update.delta, 1_000);
+  }
+  fleet.onTick(1_050);
+  sharing.onTick(new Map(), 1_050);
+  const size = fleet.fleetSize(1_050);
+  assert.ok(size >= 1 && size <= 100_000, `fleet size ${size}`);
+  assert.ok(fleet.confirmationAgeMs(1_050) >= 0);
+  const options = {service: 's', workMs: 100, excludedTargetIds: []};
+  for (const {durationMs, failureShare} of board.forecasts(options, 1_050)) {
+    assert.ok(Number.isFinite(durationMs) && durationMs > 0);
+    assert.ok(failureShare >= 0 && failureShare <= 1);
+  }
+}
+
+test('a mutated datagram is rejected or leaves the VM usable', () => {
+  // Guards against one malformed message that ends a process or its budgets.
+  fc.assert(
+    fc.property(
+      fc.constantFrom(...MESSAGES),
+      mutations,
+      fc.constantFrom(1, 1, 1, 0.9, 0.4),
+      (message, changes, keptShare) => {
+        const bytes = mutate(encodeMessage(message), changes, keptShare);
+        const decoded = decodeMessage(bytes);
+        if (decoded.isOk()) {
+          assertUsable(decoded.value);
+        }
+      },
+    ),
+    {seed: 19, numRuns: RUN_COUNT},
+  );
+});
+
+test('arbitrary bytes are rejected or leave the VM usable', () => {
+  fc.assert(
+    fc.property(fc.uint8Array({maxLength: 300}), bytes => {
+      const decoded = decodeMessage(bytes);
+      if (decoded.isOk()) {
+        assertUsable(decoded.value);
+      }
+    }),
+    {seed: 20, numRuns: RUN_COUNT},
+  );
+});
--- a/src/fleet/fleet_size.ts
+++ b/src/fleet/fleet_size.ts
@@ -14,6 +14,12 @@
 /** Time for which a reported size of a failure domain is valid. */
 const DOMAIN_SIZE_TTL_MS = 5_000;
 
+/**
+ * Greatest size that is accepted. Budgets are divided by the size, so that one
+ * corrupt report would stop all resends and probes for the peak window.
+ */
+const MAX_FLEET_SIZE = 100_000;
+
 interface SizeSample {
   readonly size: number;
   readonly observedMs: InstantMs;
@@ -36,7 +42,7 @@
     size: number,
     nowMs: InstantMs,
   ): void {
-    if (size > 0) {
+    if (size > 0 && size <= MAX_FLEET_SIZE) {
       this.domains.set(failureDomain, {size, observedMs: nowMs});
       this.recordFleetSize(this.current(nowMs), nowMs);
     }
@@ -49,7 +55,7 @@
    * @param nowMs - current instant in milliseconds
    */
   recordFleetSize(size: number, nowMs: InstantMs): void {
-    if (size <= 0) {
+    if (size <= 0 || size > MAX_FLEET_SIZE) {
       return;
     }
     // Keeps only samples greater than every later one.
--- a/src/http_get/http_get.ts
+++ b/src/http_get/http_get.ts
@@ -6,6 +6,12 @@
 import {request, type Agent} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 
+/**
+ * Largest body that is accepted. Pages of the store and snapshots of peers have
+ * about 1 MB; a body without end must not exhaust the memory of a small VM.
+ */
+export const MAX_BODY_BYTES = 16 * 1024 * 1024;
+
 /** Complete response. */
 export interface HttpGetResponse {
   readonly status: number;
@@ -14,7 +20,7 @@
 
 /** Error of a request without a complete response. */
 export interface HttpGetError {
-  readonly type: 'timeout' | 'unreachable';
+  readonly type: 'timeout' | 'unreachable' | 'malformed';
   readonly reason: string;
 }
 
@@ -65,8 +71,19 @@
     clientRequest.on('error', fail);
     clientRequest.on('response', response => {
       const chunks: Buffer[] = [];
+      let sizeBytes = 0;
       response.on('error', fail);
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('data', (chunk: Buffer) => {
+        sizeBytes += chunk.length;
+        if (sizeBytes <= MAX_BODY_BYTES) {
+          chunks.push(chunk);
+          return;
+        }
+        clearTimeout(timer);
+        const reason = `body of more than ${MAX_BODY_BYTES} bytes`;
+        resolve(err({type: 'malformed', reason}));
+        clientRequest.destroy();
+      });
       response.on('end', () => {
         clearTimeout(timer);
         const status = response.statusCode ?? 0;
--- a/src/http_get/http_get_test.ts
+++ b/src/http_get/http_get_test.ts
@@ -2,7 +2,12 @@
 import {once} from 'node:events';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {test, type TestContext} from 'node:test';
-import {httpGet, type HttpGetError, type HttpGetResponse} from './index.js';
+import {
+  httpGet,
+  MAX_BODY_BYTES,
+  type HttpGetError,
+  type HttpGetResponse,
+} from './index.js';
 
 async function get(
   t: TestContext,
@@ -54,3 +59,26 @@
   const response = await get(t, () => undefined, 20);
   assert.equal('type' in response && response.type, 'timeout');
 });
+
+test('a body without end is rejected before the timeout', async t => {
+  // Guards against a store or peer that exhausts the memory of a VM.
+  let writtenBytes = 0;
+  const block = 'b'.repeat(64 * 1024);
+  const error = await get(
+    t,
+    socket => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\n');
+      const writeMore = (): void => {
+        while (!socket.destroyed && socket.write(block)) {
+          writtenBytes += block.length;
+        }
+      };
+      socket.on('drain', writeMore);
+      writeMore();
+    },
+    60_000,
+  );
+  assert.ok('type' in error);
+  assert.equal(error.type, 'malformed');
+  assert.ok(writtenBytes < 4 * MAX_BODY_BYTES, `${writtenBytes} bytes`);
+});
--- a/src/http_get/index.ts
+++ b/src/http_get/index.ts
@@ -5,6 +5,7 @@
  */
 export {
   httpGet,
+  MAX_BODY_BYTES,
   type HttpGetError,
   type HttpGetOptions,
   type HttpGetResponse,
--- a/src/peer_datagram/fleet_codec.ts
+++ b/src/peer_datagram/fleet_codec.ts
@@ -104,8 +104,8 @@
         sender,
         position: unpackPosition(reader.nested()),
         members: reader.array(unpackMember),
-        domainSize: reader.number(),
-        fleetSize: reader.number(),
+        domainSize: reader.count(),
+        fleetSize: reader.count(),
       };
     case 'changes':
       return {
@@ -151,10 +151,10 @@
     bootId: reader.number(),
     host: reader.string(),
     failureDomain: reader.string(),
-    capacityMillicores: reader.number(),
+    capacityMillicores: reader.count(),
     state: unpackState(reader.number()),
     isReadFailing: reader.boolean(),
-    ageMs: reader.number(),
+    ageMs: reader.count(),
   };
 }
 
@@ -171,7 +171,7 @@
 }
 
 function unpackPosition(reader: WireReader): KnownPosition {
-  return {revision: reader.number(), ageMs: reader.number()};
+  return {revision: reader.count(), ageMs: reader.count()};
 }
 
 function packLoadReport(report: TargetLoadReport): unknown {
@@ -190,12 +190,12 @@
 function unpackLoadReport(reader: WireReader): TargetLoadReport {
   return {
     targetId: reader.string(),
-    running: reader.number(),
-    waiting: reader.number(),
-    slots: reader.number(),
-    slowness: reader.number() / RATIO_SCALE,
-    ageMs: reader.number(),
-    failureShare: reader.number() / RATIO_SCALE,
+    running: reader.count(),
+    waiting: reader.count(),
+    slots: reader.count(),
+    slowness: reader.count() / RATIO_SCALE,
+    ageMs: reader.count(),
+    failureShare: Math.min(1, reader.count() / RATIO_SCALE),
     isReachable: reader.boolean(),
   };
 }
@@ -207,8 +207,8 @@
 function unpackOutcome(reader: WireReader): OutcomeCount {
   return {
     targetId: reader.string(),
-    answeredCount: reader.number(),
-    failedCount: reader.number(),
+    answeredCount: reader.count(),
+    failedCount: reader.count(),
   };
 }
 
--- a/src/peer_datagram/wire_reader.ts
+++ b/src/peer_datagram/wire_reader.ts
@@ -47,6 +47,15 @@
     return value;
   }
 
+  /** Reads a number of at least 0, such as an age or a count. */
+  count(): number {
+    const value = this.number();
+    if (value < 0) {
+      throw this.unexpected('a number of at least 0');
+    }
+    return value;
+  }
+
   /** Reads a boolean. */
   boolean(): boolean {
     const value = this.next();
