--- a/src/load/failure_share.ts
+++ b/src/load/failure_share.ts
@@ -31,7 +31,7 @@
 
   /** Records the share computed by a peer with more outcomes. */
   setPeerShare(share: number, nowMs: InstantMs): void {
-    this.peerShare = share;
+    this.peerShare = Math.min(1, share);
     this.peerShareUntilMs = nowMs + PEER_SHARE_TTL_MS;
   }
 
--- a/src/load/load_board.ts
+++ b/src/load/load_board.ts
@@ -16,6 +16,9 @@
 /** Mean slowness before the first report. */
 const INITIAL_MEAN_SLOWNESS = 1.3;
 
+/** Least slowness that is accepted of a peer; 0 would mean no time at all. */
+const MIN_SLOWNESS = 0.01;
+
 /** Weight of one report in the mean speed. */
 const MEAN_GAIN = 0.01;
 
@@ -179,7 +182,8 @@
     if (record === undefined) {
       return;
     }
-    this.onLoadReport(targetId, {...report, measuredMs});
+    const slowness = Math.max(MIN_SLOWNESS, report.slowness);
+    this.onLoadReport(targetId, {...report, slowness, measuredMs});
     record.onPeerReport(report, nowMs);
   }
 
--- a/src/peer_datagram/fleet_codec.ts
+++ b/src/peer_datagram/fleet_codec.ts
@@ -195,7 +195,7 @@
     slots: reader.count(),
     slowness: reader.count() / RATIO_SCALE,
     ageMs: reader.count(),
-    failureShare: Math.min(1, reader.count() / RATIO_SCALE),
+    failureShare: reader.count() / RATIO_SCALE,
     isReachable: reader.boolean(),
   };
 }
