Show the outcome by fleet size in the delivery model

Cause: the subset was tested for balance, not for what callers get. A violation type that nothing reported is gone.

--- a/bench/delivery_model.ts
+++ b/bench/delivery_model.ts
@@ -30,6 +30,9 @@
 /** Time after the last arrival in which open requests end. */
 const DRAIN_MS = 3_000;
 
+/** Time after which an idle connection to a target is closed. */
+const CONNECTION_IDLE_MS = 4_000;
+
 /** Share of its worth that a late response still earns. */
 const LATE_WORTH_SHARE = 0.1;
 
@@ -103,6 +106,10 @@
   readonly probes: number;
   /** Attempts dropped by a target whose queue was full. */
   readonly lostAttempts: number;
+  /** Connections opened by VMs to targets, for requests and probes. */
+  readonly connections: number;
+  /** Requests at the busiest target, as a multiple of the mean. */
+  readonly busiestFactor: number;
   /** Earned worth as a share of the offered worth, 0 to 1. */
   readonly worthShare: number;
 }
@@ -130,7 +137,11 @@
     failed: 0,
     probes: 0,
     lostAttempts: 0,
+    connections: 0,
   };
+  private readonly arrivalsByTarget = new Map<string, number>();
+  /** Instant until which the connection of a VM to a target stays open. */
+  private readonly openUntilMs = new Map<string, number>();
   private offeredWorth = 0;
   private earnedWorth = 0;
 
@@ -162,10 +173,26 @@
     return {
       offered: this.requestCount,
       ...this.counts,
+      busiestFactor: this.busiestFactor(),
       worthShare: this.earnedWorth / this.offeredWorth,
     };
   }
 
+  /** Opens a connection of a VM to a target unless one is open. */
+  useConnection(vmIndex: number, targetId: string, nowMs: number): void {
+    const key = `${vmIndex} ${targetId}`;
+    if (nowMs > (this.openUntilMs.get(key) ?? -Infinity)) {
+      this.counts.connections += 1;
+    }
+    this.openUntilMs.set(key, nowMs + CONNECTION_IDLE_MS);
+  }
+
+  private busiestFactor(): number {
+    const arrivals = [...this.arrivalsByTarget.values()];
+    const sum = arrivals.reduce((total, count) => total + count, 0);
+    return (Math.max(0, ...arrivals) * this.scenario.targetCount) / sum;
+  }
+
   /** Sends a request to a target, and signals its end. */
   dispatch(
     targetId: string,
@@ -174,6 +201,8 @@
     nowMs: number,
   ): void {
     const workMs = meanWorkMs * Math.exp(0.3 * this.nextNormal());
+    const arrivals = this.arrivalsByTarget.get(targetId) ?? 0;
+    this.arrivalsByTarget.set(targetId, arrivals + 1);
     this.queue.add(nowMs + ONE_WAY_LATENCY_MS, arrivedMs => {
       const finish = (): void => this.reply(targetId, onSignal);
       const target = this.targetOf(targetId);
@@ -339,7 +368,7 @@
 
 /** Entry VM of the model. */
 class ModelVm {
-  readonly board = new LoadBoard({failureDomain: 'a'});
+  readonly board: LoadBoard;
   private readonly engine: DeliveryEngine;
   private readonly calls = new Map<string, Call>();
   private readonly probes = new ProbeTokenBucket();
@@ -347,10 +376,11 @@
 
   constructor(
     private readonly model: DeliveryModel,
-    index: number,
+    private readonly index: number,
     private readonly listedTargets: ReadonlyMap<string, KnownTarget>,
   ) {
     const {scenario} = model;
+    this.board = new LoadBoard({failureDomain: 'a', vmKey: `vm-${index}`});
     this.board.syncTargets(listedTargets);
     this.probesPerSecond =
       (scenario.probesPerTargetSecond * scenario.targetCount) /
@@ -417,6 +447,7 @@
       this.engine.onSignal(token, {type: 'sent'}, nowMs);
       const onSignal = (signal: AttemptSignal, atMs: number): void =>
         this.runEngine(atMs, () => this.engine.onSignal(token, signal, atMs));
+      this.model.useConnection(this.index, targetId, nowMs);
       this.model.dispatch(targetId, workMs, onSignal, nowMs);
     } else if (effect.type === 'probe') {
       this.probeTargets(effect.requestId, effect.targetIds, nowMs);
@@ -439,6 +470,7 @@
           this.runEngine(atMs, () => this.engine.onProbesDone(requestId, atMs));
         }
       };
+      this.model.useConnection(this.index, targetId, nowMs);
       this.model.probe(onLoad, nowMs);
     }
   }
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -73,15 +73,13 @@
  * Violation of HTTP or of the target protocol: `foreign`: the response belongs
  * to another request; `endless-head`, `endless-informational`,
  * `endless-framing`: bytes without end that are no response; `unsolicited`:
- * bytes while no request was in flight; `endless-body`: a body that went on
- * after the deadline of its request.
+ * bytes while no request was in flight.
  */
 export type ResponseViolation =
   | 'foreign'
   | 'endless-head'
   | 'endless-informational'
   | 'endless-framing'
-  | 'endless-body'
   | 'unsolicited';
 
 /** Signal about an attempt from the target adapter. */
--- a/src/fleet/fleet_node.ts
+++ b/src/fleet/fleet_node.ts
@@ -464,13 +464,12 @@
     nowMs: InstantMs,
   ): Heartbeat {
     const others = this.currentRoles.localPeers.length;
-    const domainSize = others === 0 ? 0 : others + 1;
     return {
       type: 'heartbeat',
       sender: this.reportSelf(),
       position: this.position(nowMs),
       members,
-      domainSize,
+      domainSize: others === 0 ? 0 : others + 1,
       fleetSize: this.isHead ? this.size.current(nowMs) : 0,
     };
   }
