--- a/src/load/load_board.ts
+++ b/src/load/load_board.ts
@@ -297,7 +297,10 @@
   }
 
   private inFlightOf(record: TargetRecord, nowMs: InstantMs): number {
-    const mean = this.meanLoadShares.get(record.target.service) ?? 0;
+    const {service} = record.target;
+    // The targets of an undivided service are reported on all the time.
+    const isDivided = this.targetsOf(service).slotRatio > 1;
+    const mean = isDivided ? (this.meanLoadShares.get(service) ?? 0) : 0;
     return record.inFlight(mean, nowMs);
   }
 
