--- a/src/load/choose_target.ts
+++ b/src/load/choose_target.ts
@@ -24,6 +24,9 @@
 /** Cost difference within which choices count as equal. */
 const COST_TOLERANCE = 0.02;
 
+/** Cost difference within which ranks count as equal. */
+const RANK_TOLERANCE = 1e-6;
+
 /** Lower bound of the weight of a target, for targets without a free slot. */
 const MIN_WEIGHT = 0.2;
 
@@ -79,7 +82,7 @@
 }
 
 /**
- * Sorts targets by cost, nearly equal ones at random. In a fixed order, all VMs
+ * Sorts targets by cost, equal ones at random. In a fixed order, all VMs
  * that know nothing of a set of targets would select the same few.
  *
  * @param forecasts - candidates
@@ -95,7 +98,7 @@
   return forecasts
     .map(forecast => {
       const cost = costOf(forecast, needs);
-      const order = cost + random.nextFloat() * COST_TOLERANCE;
+      const order = cost + random.nextFloat() * RANK_TOLERANCE;
       return {forecast, cost, order};
     })
     .sort((a, b) => a.order - b.order);
