Log what a crashing request is recognised by, and what clears it

No line named the fingerprint of a request or the end of a suspicion, so the hypotheses of docs/incidents/2026-12-04-crashing-request.md could not be distinguished. 'delivery: implicated' and 'delivery: cleared' do, and a gauge counts the quarantined requests. No decision changes.

--- a/bench/delivery_model.ts
+++ b/bench/delivery_model.ts
@@ -407,6 +407,7 @@
       host: 'desk.example',
       method: 'GET',
       path: `/${route.name}/1`,
+      callerAddress: '',
       fingerprint: requestId,
       bodySizeBytes: 0,
       arrivedMs: nowMs,
--- a/bench/simulated_vm.ts
+++ b/bench/simulated_vm.ts
@@ -55,7 +55,9 @@
 /** Quarantine that never quarantines a request, for comparison. */
 class NoQuarantine extends CrashQuarantine {
   onCrash(): void {}
-  onAnswered(): void {}
+  onAnswered(): boolean {
+    return false;
+  }
   onPeerImplication(): void {}
   onPeerCleared(): void {}
   isQuarantined(): boolean {
@@ -64,6 +66,12 @@
   isImplicated(): boolean {
     return false;
   }
+  crashedTargetCount(): number {
+    return 0;
+  }
+  quarantinedCount(): number {
+    return 0;
+  }
   implications(): ReadonlyMap<string, readonly string[]> {
     return new Map();
   }
--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -18,6 +18,8 @@
 import {
   answerEvent,
   attemptFailedEvent,
+  clearedEvent,
+  implicatedEvent,
   refuseEvent,
   sendEvent,
   violationEvent,
@@ -499,7 +501,10 @@
       return;
     }
     attempt.verdict = 'ran';
-    quarantine.onAnswered(delivery.request.fingerprint, nowMs);
+    const {fingerprint} = delivery.request;
+    if (quarantine.onAnswered(fingerprint, nowMs)) {
+      this.log(clearedEvent(delivery, attempt, signal.status));
+    }
     if (delivery.isClosed) {
       this.effects.push({type: 'discard', token});
       return;
@@ -544,6 +549,11 @@
     const {fingerprint} = delivery.request;
     delivery.lastFailure = 'lost';
     quarantine.onCrash(attempt.targetId, [fingerprint], nowMs);
+    const crashedTargetCount = quarantine.crashedTargetCount(
+      fingerprint,
+      nowMs,
+    );
+    this.log(implicatedEvent(delivery, attempt, crashedTargetCount));
     this.retryOrGiveUp(delivery, attempt, 'lost', nowMs);
   }
 
--- a/src/delivery/delivery_events.ts
+++ b/src/delivery/delivery_events.ts
@@ -13,6 +13,9 @@
 /** Logged in place of the age of an unknown load. */
 const UNKNOWN_AGE_MS = -1;
 
+/** Length to which paths are cut in the log. */
+const MAX_LOGGED_PATH_LENGTH = 200;
+
 /**
  * Builds the log event of the start of an attempt.
  *
@@ -89,6 +92,54 @@
   return {name: 'target-violation', details: {callId, targetId, violation}};
 }
 
+/**
+ * Builds the log event of a request that was in flight when a target was lost,
+ * with all that distinguishes it from another request.
+ *
+ * @param delivery - request
+ * @param attempt - attempt that was lost
+ * @param crashedTargetCount - targets lost with the request, at any VM
+ * @returns event to log
+ */
+export function implicatedEvent(
+  {request}: Delivery,
+  {targetId}: DeliveryAttempt,
+  crashedTargetCount: number,
+): DeliveryEvent {
+  const {callId, fingerprint, callerAddress, method, host, path} = request;
+  return {
+    name: 'implicated',
+    details: {
+      callId,
+      targetId,
+      crashedTargetCount,
+      fingerprint,
+      callerAddress,
+      method,
+      host,
+      path: path.slice(0, MAX_LOGGED_PATH_LENGTH),
+    },
+  };
+}
+
+/**
+ * Builds the log event of a response that clears a request of the suspicion of
+ * crashing targets.
+ *
+ * @param delivery - request
+ * @param attempt - attempt that was answered
+ * @param status - HTTP status code
+ * @returns event to log
+ */
+export function clearedEvent(
+  {request}: Delivery,
+  {targetId}: DeliveryAttempt,
+  status: number,
+): DeliveryEvent {
+  const {callId, fingerprint} = request;
+  return {name: 'cleared', details: {callId, targetId, fingerprint, status}};
+}
+
 /**
  * Builds the log event of a response that is forwarded.
  *
--- a/src/delivery/types.ts
+++ b/src/delivery/types.ts
@@ -18,6 +18,8 @@
   readonly method: string;
   /** Path with query. */
   readonly path: string;
+  /** Address from which the request came. */
+  readonly callerAddress: string;
   /** Hash of caller, method, host, path and body. */
   readonly fingerprint: string;
   readonly bodySizeBytes: number;
--- a/src/engine/engine_fixture.ts
+++ b/src/engine/engine_fixture.ts
@@ -135,8 +135,8 @@
     }
   }
 
-  onAnswered(fingerprint: string): void {
-    this.crashes.delete(fingerprint);
+  onAnswered(fingerprint: string): boolean {
+    return this.crashes.delete(fingerprint);
   }
 
   onPeerImplication(fingerprint: string, targetId: string): void {
@@ -149,7 +149,16 @@
   }
 
   isQuarantined(fingerprint: string): boolean {
-    return (this.crashes.get(fingerprint)?.size ?? 0) >= 2;
+    return this.crashedTargetCount(fingerprint) >= 2;
+  }
+
+  crashedTargetCount(fingerprint: string): number {
+    return this.crashes.get(fingerprint)?.size ?? 0;
+  }
+
+  quarantinedCount(): number {
+    return [...this.crashes.keys()].filter(key => this.isQuarantined(key))
+      .length;
   }
 
   isImplicated(fingerprint: string): boolean {
--- a/src/entry/composition_root.ts
+++ b/src/entry/composition_root.ts
@@ -73,6 +73,7 @@
         state: get(PublishedState),
         fleet: get(FleetNode),
         board: get(LoadBoard),
+        quarantine: get(CrashQuarantine),
         engine: get(DeliveryEngine),
         runner: get(DeliveryRunner),
         callers: get<CallerServer<RoutedRequest>>(CallerServer),
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -18,6 +18,7 @@
   type DatagramLink,
   type PublishedServer,
 } from '../peer_datagram/index.js';
+import type {CrashQuarantine} from '../recovery/index.js';
 import type {
   PublishedDelta,
   PublishedSnapshot,
@@ -85,6 +86,7 @@
   readonly state: PublishedState;
   readonly fleet: FleetNode;
   readonly board: LoadBoard;
+  readonly quarantine: CrashQuarantine;
   readonly engine: DeliveryEngine;
   readonly runner: DeliveryRunner;
   readonly callers: CallerServer<RoutedRequest>;
@@ -132,6 +134,7 @@
   async start(): Promise<void> {
     const {settings, fleet, callers, link, published, status} = this.parts;
     const {log, metrics, engine, targets, state, reader, clock} = this.parts;
+    const {quarantine} = this.parts;
     fleet.setSeeds(settings.seedHosts);
     metrics.registerGauges({
       openRequests: () => engine.openCount,
@@ -139,6 +142,7 @@
       fleetSize: () => fleet.fleetSize(clock.nowMs()),
       revision: () => state.revision,
       storeCalls: () => reader.callCount,
+      quarantinedRequests: () => quarantine.quarantinedCount(clock.nowMs()),
       confirmationAgeMs: () =>
         Math.min(fleet.confirmationAgeMs(clock.nowMs()), 1e9),
     });
--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -16,6 +16,7 @@
   readonly revision: () => number;
   readonly confirmationAgeMs: () => number;
   readonly storeCalls: () => number;
+  readonly quarantinedRequests: () => number;
 }
 
 /** Counters, histograms and gauges of one process. */
@@ -76,6 +77,11 @@
     this.gauge('fleet_size', 'VMs in the fleet', sources.fleetSize);
     this.gauge('revision', 'Position in the store', sources.revision);
     this.gauge('store_calls', 'Calls of the store', sources.storeCalls);
+    this.gauge(
+      'quarantined_requests',
+      'Requests that no target gets, since several were lost with them',
+      sources.quarantinedRequests,
+    );
     this.gauge(
       'confirmation_age_ms',
       'Age of the last confirmation that nothing newer is published',
--- a/src/recovery/fingerprint_quarantine.ts
+++ b/src/recovery/fingerprint_quarantine.ts
@@ -85,11 +85,13 @@
     this.addImplication(fingerprint, targetId, nowMs);
   }
 
-  override onAnswered(fingerprint: string, nowMs: InstantMs): void {
-    if (this.implicated.delete(fingerprint)) {
-      this.clearedUntilMs.set(fingerprint, nowMs + CLEARED_GOSSIP_MS);
-      deleteOldestIfOver(this.clearedUntilMs, this.maxFingerprints);
+  override onAnswered(fingerprint: string, nowMs: InstantMs): boolean {
+    if (!this.implicated.delete(fingerprint)) {
+      return false;
     }
+    this.clearedUntilMs.set(fingerprint, nowMs + CLEARED_GOSSIP_MS);
+    deleteOldestIfOver(this.clearedUntilMs, this.maxFingerprints);
+    return true;
   }
 
   override onPeerCleared(fingerprint: string): void {
@@ -97,8 +99,24 @@
   }
 
   override isQuarantined(fingerprint: string, nowMs: InstantMs): boolean {
-    const entry = this.findUnexpired(fingerprint, nowMs);
-    return (entry?.targetIds.size ?? 0) >= this.quarantineTargetCount;
+    return (
+      this.crashedTargetCount(fingerprint, nowMs) >= this.quarantineTargetCount
+    );
+  }
+
+  override crashedTargetCount(fingerprint: string, nowMs: InstantMs): number {
+    return this.findUnexpired(fingerprint, nowMs)?.targetIds.size ?? 0;
+  }
+
+  override quarantinedCount(nowMs: InstantMs): number {
+    let count = 0;
+    for (const {expiresMs, targetIds} of this.implicated.values()) {
+      const hasExpired = expiresMs <= nowMs;
+      if (!hasExpired && targetIds.size >= this.quarantineTargetCount) {
+        count += 1;
+      }
+    }
+    return count;
   }
 
   override isImplicated(fingerprint: string, nowMs: InstantMs): boolean {
--- a/src/recovery/types.ts
+++ b/src/recovery/types.ts
@@ -107,8 +107,12 @@
     nowMs: InstantMs,
   ): void;
 
-  /** Clears a fingerprint after a complete response from a target. */
-  abstract onAnswered(fingerprint: string, nowMs: InstantMs): void;
+  /**
+   * Clears a fingerprint after a complete response from a target.
+   *
+   * @returns true if it was implicated
+   */
+  abstract onAnswered(fingerprint: string, nowMs: InstantMs): boolean;
 
   /** Applies an implication that a peer reported. */
   abstract onPeerImplication(
@@ -123,6 +127,12 @@
   /** Returns whether the request must not be sent to any target. */
   abstract isQuarantined(fingerprint: string, nowMs: InstantMs): boolean;
 
+  /** Returns the number of targets whose crash implicates the request. */
+  abstract crashedTargetCount(fingerprint: string, nowMs: InstantMs): number;
+
+  /** Returns the number of quarantined fingerprints. */
+  abstract quarantinedCount(nowMs: InstantMs): number;
+
   /** Returns whether the request was in flight at one crash or more. */
   abstract isImplicated(fingerprint: string, nowMs: InstantMs): boolean;
 
