--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,8 +10,25 @@
 for source in "${sources[@]}"; do
   files+=("dist/${source%.ts}.js")
 done
+# Unit tests that KNOWN-RED.txt lists, as lines "test: FILE: NAME", and their files.
+red_names=$(sed -n 's/^test: [^ ]*_test\.ts: //p' KNOWN-RED.txt)
+mapfile -t red_files < <(sed -n 's|^test: \([^ ]*_test\)\.ts: .*|dist/\1.js|p' KNOWN-RED.txt | sort -u)
+mapfile -t files < <(printf '%s\n' "${files[@]}" | grep -vxF "$(printf '%s\n' "${red_files[@]}" none)")
 # The timeout ends a test that waits for an event that never happens.
 node --test --test-concurrency=4 --test-timeout=120000 "$@" "${files[@]}"
+# Runs a file with known failures. Any other failure counts, and so does a run
+# that ends without a summary.
+run_red_file() {
+  local output failed
+  echo "# $1: with known failures, see KNOWN-RED.txt"
+  output=$(node --test-timeout=120000 "$1") || true
+  echo "$output"
+  failed=$(sed -n 's/^not ok [0-9]* - //p' <<<"$output" | grep -vxF "${red_names:-none}" || true)
+  [ -z "$failed" ] && grep -q '^# tests' <<<"$output"
+}
+for file in "${red_files[@]}"; do
+  run_red_file "$file"
+done
 [ "${PROCESSES:-1}" = 1 ] || exit 0
 # Each check reserves its own ports. Only two run at once, to limit the load.
 folder=$(mktemp -d)
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -199,13 +199,11 @@
     const nowMs = clock.nowMs();
     const {update, dispatches} = fleet.onMessage(message, nowMs);
     this.sendAll(dispatches);
+    this.sendAll(sharing.onMessage(message, nowMs));
     if (message.type === 'load') {
-      sharing.onTable(message, nowMs);
       this.parts.runner.feed(inputMs =>
         this.parts.engine.onTargetsChanged(inputMs),
       );
-    } else if (message.type === 'outcomes') {
-      this.sendAll(sharing.onReport(message, nowMs));
     }
     if (update.delta !== undefined && !this.applyDelta(update.delta, false)) {
       this.startFetch(message.sender.host);
--- a/src/entry/load_sharing.ts
+++ b/src/entry/load_sharing.ts
@@ -7,6 +7,7 @@
 import type {InstantMs} from '../core/index.js';
 import type {
   Dispatch,
+  FleetMessage,
   FleetNode,
   Implication,
   LoadTable,
@@ -125,6 +126,25 @@
     return {dispatches, probes: this.takeDueProbes(targets, nowMs)};
   }
 
+  /**
+   * Merges a message of another VM.
+   *
+   * @param message - received message
+   * @param nowMs - current instant in milliseconds
+   * @returns messages to send
+   */
+  onMessage(message: FleetMessage, nowMs: InstantMs): readonly Dispatch[] {
+    switch (message.type) {
+      case 'load':
+        this.onTable(message, nowMs);
+        return [];
+      case 'outcomes':
+        return this.onReport(message, nowMs);
+      default:
+        return [];
+    }
+  }
+
   /**
    * Merges a load table into the board.
    *
