Recognise copies of a crashing request by their resource

Cause: identity taken from fields that a sender may vary. The fingerprint hashed the caller's address and the query, so each copy from another address or with another query was a new request and the count of lost targets began again.

Requests have a second fingerprint, of method, host, path without query and body. A resource that targets answer stays usable: different callers share it, and some are in flight whenever several targets fail together; there the exact fingerprint decides, as before (test of a popular request after 10 of 30 targets crash at once).

--- a/bench/delivery_model.ts
+++ b/bench/delivery_model.ts
@@ -409,6 +409,7 @@
       path: `/${route.name}/1`,
       callerAddress: '',
       fingerprint: requestId,
+      resourceFingerprint: requestId,
       bodySizeBytes: 0,
       arrivedMs: nowMs,
       deadlineMs: firstMs + route.deadlineMs,
--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -11,7 +11,7 @@
   TargetForecast,
   TargetOutcome,
 } from '../load/index.js';
-import type {CrashQuarantine} from '../recovery/index.js';
+import {RequestQuarantine, type CrashQuarantine} from '../recovery/index.js';
 import type {WindowLimit} from '../retries/index.js';
 import {WeightedSplit, type RouteTable} from '../routes/index.js';
 import {Delivery, type DeliveryAttempt} from './delivery.js';
@@ -98,6 +98,7 @@
   private readonly statistics = new RouteStatisticsTable();
   private readonly limits: ServiceLimits;
   private readonly selection: TargetSelection;
+  private readonly quarantine: RequestQuarantine;
   private effects: DeliveryEffect[] = [];
   private tokenCount = 0;
 
@@ -106,6 +107,7 @@
     const {board, random} = options;
     const {statistics} = this;
     this.limits = new ServiceLimits(options);
+    this.quarantine = new RequestQuarantine(options.quarantine);
     this.selection = new TargetSelection({
       board,
       random,
@@ -185,7 +187,7 @@
     if (service === undefined) {
       return this.refuseOnArrival(request, 'no-target');
     }
-    if (this.options.quarantine.isQuarantined(request.fingerprint, nowMs)) {
+    if (this.quarantine.isQuarantined(request, nowMs)) {
       return this.refuseOnArrival(request, 'quarantined');
     }
     const delivery = new Delivery(request, rule, service, {
@@ -332,9 +334,8 @@
 
   /** Sends a request to the best target, queues it, or refuses it. */
   private dispatch(delivery: Delivery, nowMs: InstantMs): void {
-    const {quarantine} = this.options;
     this.waiting.delete(delivery);
-    if (quarantine.isQuarantined(delivery.request.fingerprint, nowMs)) {
+    if (this.quarantine.isQuarantined(delivery.request, nowMs)) {
       this.refuse(delivery, 'quarantined', nowMs);
       return;
     }
@@ -488,7 +489,7 @@
     signal: Extract<AttemptSignal, {readonly type: 'response'}>,
     nowMs: InstantMs,
   ): void {
-    const {board, quarantine} = this.options;
+    const {board} = this.options;
     const {token, targetId} = attempt;
     if (signal.figures !== undefined) {
       board.onLoadReport(targetId, {...signal.figures, measuredMs: nowMs});
@@ -501,8 +502,7 @@
       return;
     }
     attempt.verdict = 'ran';
-    const {fingerprint} = delivery.request;
-    if (quarantine.onAnswered(fingerprint, nowMs)) {
+    if (this.quarantine.onAnswered(delivery.request, nowMs)) {
       this.log(clearedEvent(delivery, attempt, signal.status));
     }
     if (delivery.isClosed) {
@@ -545,12 +545,10 @@
     attempt: DeliveryAttempt,
     nowMs: InstantMs,
   ): void {
-    const {quarantine} = this.options;
-    const {fingerprint} = delivery.request;
     delivery.lastFailure = 'lost';
-    quarantine.onCrash(attempt.targetId, [fingerprint], nowMs);
-    const crashedTargetCount = quarantine.crashedTargetCount(
-      fingerprint,
+    const crashedTargetCount = this.quarantine.onCrash(
+      attempt.targetId,
+      delivery.request,
       nowMs,
     );
     this.log(implicatedEvent(delivery, attempt, crashedTargetCount));
@@ -591,11 +589,10 @@
     nowMs: InstantMs,
   ): boolean {
     const {rule, service, request} = delivery;
-    const {quarantine} = this.options;
     if (delivery.sentCount >= rule.maxAttempts) {
       return false;
     }
-    if (quarantine.isQuarantined(request.fingerprint, nowMs)) {
+    if (this.quarantine.isQuarantined(request, nowMs)) {
       return false;
     }
     const forecasts = this.selection.forecasts(delivery, nowMs);
--- a/src/delivery/delivery_events.ts
+++ b/src/delivery/delivery_events.ts
@@ -106,7 +106,8 @@
   {targetId}: DeliveryAttempt,
   crashedTargetCount: number,
 ): DeliveryEvent {
-  const {callId, fingerprint, callerAddress, method, host, path} = request;
+  const {callId, fingerprint, resourceFingerprint} = request;
+  const {callerAddress, method, host, path} = request;
   return {
     name: 'implicated',
     details: {
@@ -114,6 +115,7 @@
       targetId,
       crashedTargetCount,
       fingerprint,
+      resourceFingerprint,
       callerAddress,
       method,
       host,
@@ -136,8 +138,11 @@
   {targetId}: DeliveryAttempt,
   status: number,
 ): DeliveryEvent {
-  const {callId, fingerprint} = request;
-  return {name: 'cleared', details: {callId, targetId, fingerprint, status}};
+  const {callId, fingerprint, resourceFingerprint} = request;
+  return {
+    name: 'cleared',
+    details: {callId, targetId, fingerprint, resourceFingerprint, status},
+  };
 }
 
 /**
--- a/src/delivery/types.ts
+++ b/src/delivery/types.ts
@@ -5,9 +5,10 @@
  */
 import type {InstantMs} from '../core/index.js';
 import type {AnswerOutcome} from '../engine/index.js';
+import type {RequestFingerprints} from '../recovery/index.js';
 
 /** Request of a caller whose head and body are complete. */
-export interface RoutedRequest {
+export interface RoutedRequest extends RequestFingerprints {
   /** Unique within the process. */
   readonly requestId: string;
   /** Id that the caller gave to this attempt of its request. */
@@ -20,8 +21,6 @@
   readonly path: string;
   /** Address from which the request came. */
   readonly callerAddress: string;
-  /** Hash of caller, method, host, path and body. */
-  readonly fingerprint: string;
   readonly bodySizeBytes: number;
   readonly arrivedMs: InstantMs;
   /** Deadline of the caller; undefined if it sent none. */
--- a/src/recovery/index.ts
+++ b/src/recovery/index.ts
@@ -10,6 +10,12 @@
   type FingerprintQuarantineOptions,
 } from './fingerprint_quarantine.js';
 export {HomeVm, type HandOverPlan, type HomeVmOptions} from './home_vm.js';
+export {
+  RequestQuarantine,
+  fingerprintsOf,
+  type RequestFingerprints,
+  type RequestIdentity,
+} from './request_quarantine.js';
 export {
   KeyedClaimTable,
   RESEND_WINDOW_MS,
