Do not clear a crashing request by a server error

Only a response below 500 clears now. The new test of delivery_engine_test.ts failed with the condition taken out of the built file (status 'response' for 503).

--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -502,7 +502,9 @@
       return;
     }
     attempt.verdict = 'ran';
-    if (this.quarantine.onAnswered(delivery.request, nowMs)) {
+    // A target may fail a request before it reaches what crashes others.
+    const isSuccess = signal.status < 500;
+    if (isSuccess && this.quarantine.onAnswered(delivery.request, nowMs)) {
       this.log(clearedEvent(delivery, attempt, signal.status));
     }
     if (delivery.isClosed) {
--- a/src/delivery/delivery_engine_test.ts
+++ b/src/delivery/delivery_engine_test.ts
@@ -384,6 +384,20 @@
   assert.equal(harness.status(last), 503);
 });
 
+test('a server error does not clear a request that crashes targets', () => {
+  const harness = new Harness({targets: 9});
+  const poison = {fingerprint: 'poison', resourceFingerprint: 'poisoned'};
+  let last = '';
+  [LOST, LOST, answer(500), answer(500), LOST].forEach((signal, index) => {
+    if (last === '' || harness.status(last) !== undefined) {
+      last = harness.request(SAFE, poison);
+    }
+    harness.endAttempt(harness.sends[index], signal);
+  });
+  last = harness.request(SAFE, poison);
+  assert.equal(harness.status(last), 503);
+});
+
 test('an unanswered read is hedged at a second target in time', () => {
   // Guards against reads that wait for a target that hangs.
   const harness = new Harness();
