Let all VMs agree on the requests that crash targets

Class: knowledge of the fleet that rests on one message to those who happen to listen.

Heartbeats carry a digest of the quarantined requests, 0 for none; a VM that receives another digest sends its quarantined and cleared requests to the sender, at most each 400 ms. Implications carry their remaining time, so that VMs do not renew each other's. A clearance reaches all VMs now: before, the other VMs refused an answered read for 10 minutes. Fields are appended and optional, so VMs of the release before understand the messages.

--- a/bench/simulated_vm.ts
+++ b/bench/simulated_vm.ts
@@ -72,6 +72,9 @@
   quarantinedCount(): number {
     return 0;
   }
+  quarantined(): readonly [] {
+    return [];
+  }
   implications(): ReadonlyMap<string, readonly string[]> {
     return new Map();
   }
--- a/src/engine/engine_fixture.ts
+++ b/src/engine/engine_fixture.ts
@@ -7,7 +7,10 @@
 import {type InstantMs, SeededRandom} from '../core/index.js';
 import type {KindPreset, ListedVm, Preset} from '../preset/index.js';
 import {type ProbeCandidate, ProbeScheduler} from '../probing/index.js';
-import {CrashQuarantine} from '../recovery/index.js';
+import {
+  CrashQuarantine,
+  type QuarantinedFingerprint,
+} from '../recovery/index.js';
 import {
   type ChooseOptions,
   type TargetChoice,
@@ -157,8 +160,17 @@
   }
 
   quarantinedCount(): number {
-    return [...this.crashes.keys()].filter(key => this.isQuarantined(key))
-      .length;
+    return this.quarantined().length;
+  }
+
+  quarantined(): readonly QuarantinedFingerprint[] {
+    return [...this.crashes]
+      .filter(([fingerprint]) => this.isQuarantined(fingerprint))
+      .map(([fingerprint, targetIds]) => ({
+        fingerprint,
+        targetIds: [...targetIds],
+        expiresMs: Infinity,
+      }));
   }
 
   isImplicated(fingerprint: string): boolean {
--- a/src/engine/peer_facts.ts
+++ b/src/engine/peer_facts.ts
@@ -108,7 +108,7 @@
     }
     const {quarantine} = this.context.options;
     if (parsed.data.length === 0) {
-      quarantine.onPeerCleared(fingerprint);
+      quarantine.onPeerCleared(fingerprint, nowMs);
     }
     for (const targetId of parsed.data) {
       quarantine.onPeerImplication(fingerprint, targetId, nowMs);
--- a/src/entry/load_sharing.ts
+++ b/src/entry/load_sharing.ts
@@ -4,11 +4,12 @@
  *
  * @packageDocumentation
  */
-import type {InstantMs} from '../core/index.js';
+import {hashText, type InstantMs} from '../core/index.js';
 import type {
   Dispatch,
   FleetMessage,
   FleetNode,
+  Heartbeat,
   Implication,
   LoadTable,
   OutcomeCount,
@@ -16,7 +17,7 @@
   TargetLoadReport,
 } from '../fleet/index.js';
 import type {LoadBoard} from '../load/index.js';
-import type {CrashQuarantine} from '../recovery/index.js';
+import {IMPLICATION_TTL_MS, type CrashQuarantine} from '../recovery/index.js';
 import type {KnownTarget} from '../registry/index.js';
 
 /**
@@ -67,6 +68,15 @@
 /** Most implications in one message. */
 const MAX_IMPLICATIONS = 40;
 
+/** Interval at which the digest of the quarantine is computed. */
+const DIGEST_INTERVAL_MS = 200;
+
+/** Shortest interval at which the quarantine is sent to one peer. */
+const MIN_REPAIR_INTERVAL_MS = 400;
+
+/** Hexadecimal digits of a digest. */
+const DIGEST_LENGTH = 8;
+
 /** Options of {@link LoadSharing}. */
 export interface LoadSharingOptions {
   readonly host: string;
@@ -101,6 +111,11 @@
   private lastLocalTableMs: InstantMs = 0;
   private readonly lastProbeMs = new Map<string, InstantMs>();
   private readonly seenImplications = new Set<string>();
+  private quarantineDigest = 0;
+  private nextDigestMs: InstantMs = 0;
+  private repairCount = 0;
+  /** Instant at which the quarantine was last sent to a peer, by its host. */
+  private readonly lastRepairMs = new Map<string, InstantMs>();
 
   /** @param options - identity of this VM, fleet, load board and quarantine */
   constructor(private readonly options: LoadSharingOptions) {}
@@ -117,6 +132,7 @@
     nowMs: InstantMs,
   ): SharingActions {
     const dispatches: Dispatch[] = [];
+    this.updateQuarantineDigest(nowMs);
     this.addOutcomeReports(dispatches, nowMs);
     this.addImplicationReport(dispatches, nowMs);
     if (!this.shouldProbe(nowMs)) {
@@ -140,6 +156,8 @@
         return [];
       case 'outcomes':
         return this.onReport(message, nowMs);
+      case 'heartbeat':
+        return this.onHeartbeat(message, nowMs);
       default:
         return [];
     }
@@ -174,16 +192,90 @@
     for (const outcome of report.outcomes) {
       board.onPeerOutcomes(outcome, nowMs);
     }
+    for (const implication of report.implications) {
+      const {fingerprint, targetId} = implication;
+      quarantine.onPeerImplication(fingerprint, targetId, nowMs, implication);
+    }
+    for (const fingerprint of report.clearedFingerprints) {
+      quarantine.onPeerCleared(fingerprint, nowMs);
+    }
     const unseen = report.implications.filter(
+      each => !this.checkAndMarkSeen(keyOf(each)),
+    );
+    const unseenCleared = report.clearedFingerprints.filter(
       each => !this.checkAndMarkSeen(each),
     );
-    for (const {fingerprint, targetId} of unseen) {
-      quarantine.onPeerImplication(fingerprint, targetId, nowMs);
+    if (unseen.length + unseenCleared.length === 0 || !fleet.isHead) {
+      return [];
     }
-    if (unseen.length === 0 || !fleet.isHead) {
+    const hosts = fleet.roles.localPeers;
+    return [this.createImplicationReport(hosts, unseen, unseenCleared)];
+  }
+
+  /**
+   * Compares the quarantine of a peer with that of this VM, and sends what the
+   * peer may have missed: it may have started later, or been cut off.
+   */
+  private onHeartbeat(
+    {sender, quarantineDigest}: Heartbeat,
+    nowMs: InstantMs,
+  ): readonly Dispatch[] {
+    const {quarantine} = this.options;
+    const {host} = sender;
+    const sentMs = this.lastRepairMs.get(host) ?? -Infinity;
+    const isDue = nowMs - sentMs >= MIN_REPAIR_INTERVAL_MS;
+    if (quarantineDigest === this.quarantineDigest || !isDue) {
+      return [];
+    }
+    const implications: Implication[] = [];
+    for (const each of quarantine.quarantined(nowMs)) {
+      for (const targetId of each.targetIds) {
+        const {fingerprint, expiresMs} = each;
+        const remainingMs = expiresMs - nowMs;
+        implications.push({fingerprint, targetId, remainingMs});
+      }
+    }
+    const cleared = [...quarantine.implications(nowMs)].flatMap(
+      ([fingerprint, targetIds]) => (targetIds.length === 0 ? fingerprint : []),
+    );
+    if (implications.length + cleared.length === 0) {
       return [];
     }
-    return [this.createImplicationReport(fleet.roles.localPeers, unseen)];
+    this.lastRepairMs.set(host, nowMs);
+    return [
+      this.createImplicationReport(
+        [host],
+        this.nextPart(implications),
+        cleared.slice(-MAX_IMPLICATIONS),
+      ),
+    ];
+  }
+
+  /** Returns a part that fits a message; further calls return other parts. */
+  private nextPart(all: readonly Implication[]): readonly Implication[] {
+    const partCount = Math.ceil(all.length / MAX_IMPLICATIONS);
+    this.repairCount += 1;
+    const start =
+      (this.repairCount % Math.max(1, partCount)) * MAX_IMPLICATIONS;
+    return all.slice(start, start + MAX_IMPLICATIONS);
+  }
+
+  private updateQuarantineDigest(nowMs: InstantMs): void {
+    if (nowMs < this.nextDigestMs) {
+      return;
+    }
+    this.nextDigestMs = nowMs + DIGEST_INTERVAL_MS;
+    const {fleet, quarantine} = this.options;
+    const fingerprints = quarantine
+      .quarantined(nowMs)
+      .map(({fingerprint}) => fingerprint);
+    this.quarantineDigest = digestOf(fingerprints);
+    fleet.setQuarantineDigest(this.quarantineDigest);
+    for (const [host, sentMs] of this.lastRepairMs) {
+      if (nowMs - sentMs >= MIN_REPAIR_INTERVAL_MS) {
+        this.lastRepairMs.delete(host);
+      }
+    }
   }
 
   private get tableBytesPerSecond(): number {
@@ -337,7 +429,12 @@
       const receivers = hosts.slice(0, 1).filter(each => each !== host);
       if (outcomes !== undefined && receivers.length > 0) {
         const sender = fleet.reportSelf();
-        const message = {sender, outcomes, implications: []};
+        const message = {
+          sender,
+          outcomes,
+          implications: [],
+          clearedFingerprints: [],
+        };
         dispatches.push({
           hosts: receivers,
           message: {type: 'outcomes', ...message},
@@ -353,13 +450,19 @@
   private addImplicationReport(dispatches: Dispatch[], nowMs: InstantMs): void {
     const {fleet, quarantine} = this.options;
     const unseen: Implication[] = [];
+    const cleared: string[] = [];
     for (const [fingerprint, targetIds] of quarantine.implications(nowMs)) {
+      if (unseen.length + cleared.length >= MAX_IMPLICATIONS) {
+        break;
+      }
+      if (targetIds.length === 0 && !this.checkAndMarkSeen(fingerprint)) {
+        cleared.push(fingerprint);
+      }
       for (const targetId of targetIds) {
-        const implication = {fingerprint, targetId};
-        if (
-          unseen.length < MAX_IMPLICATIONS &&
-          !this.checkAndMarkSeen(implication)
-        ) {
+        const remainingMs = IMPLICATION_TTL_MS;
+        const implication = {fingerprint, targetId, remainingMs};
+        if (!this.checkAndMarkSeen(keyOf(implication))) {
+          this.seenImplications.delete(fingerprint);
           unseen.push(implication);
         }
       }
@@ -369,16 +472,15 @@
       ...fleet.roles.otherHeads.flatMap(each => each.hosts),
       ...(fleet.isHead ? fleet.roles.localPeers : []),
     ].filter(each => each !== this.options.host);
-    if (unseen.length > 0 && hosts.length > 0) {
+    if (unseen.length + cleared.length > 0 && hosts.length > 0) {
       dispatches.push(
-        this.createImplicationReport([...new Set(hosts)], unseen),
+        this.createImplicationReport([...new Set(hosts)], unseen, cleared),
       );
     }
   }
 
-  /** Records an implication and returns whether it had been recorded before. */
-  private checkAndMarkSeen({fingerprint, targetId}: Implication): boolean {
-    const key = `${fingerprint}@${targetId}`;
+  /** Records a piece of news and returns whether it had been recorded before. */
+  private checkAndMarkSeen(key: string): boolean {
     if (this.seenImplications.has(key)) {
       return true;
     }
@@ -393,9 +495,23 @@
   private createImplicationReport(
     hosts: readonly string[],
     implications: readonly Implication[],
+    clearedFingerprints: readonly string[],
   ): Dispatch {
     const sender = this.options.fleet.reportSelf();
-    const message = {sender, outcomes: [], implications};
+    const message = {sender, outcomes: [], implications, clearedFingerprints};
     return {hosts, message: {type: 'outcomes', ...message}};
   }
 }
+
+function keyOf({fingerprint, targetId}: Implication): string {
+  return `${fingerprint}@${targetId}`;
+}
+
+/** Returns a number that is equal for equal sets, and 0 for none. */
+function digestOf(fingerprints: readonly string[]): number {
+  if (fingerprints.length === 0) {
+    return 0;
+  }
+  const text = [...fingerprints].sort().join(' ');
+  return Number.parseInt(hashText(text).slice(0, DIGEST_LENGTH), 16);
+}
--- a/src/entry/load_sharing_test.ts
+++ b/src/entry/load_sharing_test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {SeededRandom} from '../core/index.js';
-import {FleetNode, type Dispatch, type MemberIdentity} from '../fleet/index.js';
+import {
+  FleetNode,
+  type Dispatch,
+  type Heartbeat,
+  type MemberIdentity,
+} from '../fleet/index.js';
 import {LoadBoard} from '../load/index.js';
 import {FingerprintQuarantine} from '../recovery/index.js';
 import type {KnownTarget} from '../registry/index.js';
@@ -48,7 +53,7 @@
     for (const {fleet} of others) {
       const sender = fleet.reportSelf();
       const position = {revision: 0, ageMs: 0};
-      const sizes = {domainSize: 3, fleetSize: 3};
+      const sizes = {domainSize: 3, fleetSize: 3, quarantineDigest: 0};
       const message = {
         type: 'heartbeat' as const,
         sender,
@@ -142,6 +147,54 @@
   assert.deepEqual(member.tick(20).dispatches, []);
 });
 
+test('a request that a target answered is cleared on all VMs', () => {
+  // Guards against a read that stays refused on the VMs that do not send it.
+  const [head, standby, member] = createDomain();
+  const lost = ['x', 'y', 'z'];
+  for (const {quarantine} of [head, standby, member]) {
+    lost.forEach(targetId => quarantine.onCrash(targetId, ['read'], 0));
+  }
+  member.tick(10);
+  head.tick(10);
+  member.quarantine.onAnswered('read', 20);
+  for (const {message} of member.tick(30).dispatches) {
+    head.sharing.onMessage(message, 31);
+  }
+  assert.equal(head.quarantine.isQuarantined('read', 31), false);
+  // The standby has missed the message and still reports its quarantine.
+  const [repair] = standby.sharing.onMessage(heartbeatOf(head), 400);
+  assert.ok(repair?.message.type === 'outcomes');
+  const [answer] = head.sharing.onMessage(heartbeatOf(standby, 7), 401);
+  head.sharing.onMessage(repair.message, 402);
+  assert.equal(head.quarantine.isQuarantined('read', 402), false);
+  assert.equal(answer, undefined, 'the head has not cleared it itself');
+  const [cleared] = member.sharing.onMessage(heartbeatOf(standby, 7), 403);
+  assert.ok(cleared !== undefined);
+  standby.sharing.onMessage(cleared.message, 404);
+  assert.equal(standby.quarantine.isQuarantined('read', 404), false);
+});
+
+test('VMs that quarantine the same requests send each other nothing', () => {
+  // Guards against control traffic that goes on once all VMs agree.
+  const [head, , member] = createDomain();
+  for (const {quarantine} of [head, member]) {
+    ['x', 'y', 'z'].forEach(id => quarantine.onCrash(id, ['f', 'g'], 0));
+  }
+  head.tick(10);
+  member.tick(10);
+  assert.deepEqual(head.sharing.onMessage(heartbeatOf(member), 11), []);
+  member.quarantine.onCrash('w', ['h'], 12);
+  member.tick(300);
+  assert.deepEqual(head.sharing.onMessage(heartbeatOf(member), 301), []);
+});
+
+function heartbeatOf({fleet}: TestVm, digest?: number): Heartbeat {
+  const [sent] = fleet.announce(0);
+  assert.ok(sent?.message.type === 'heartbeat');
+  const {quarantineDigest} = sent.message;
+  return {...sent.message, quarantineDigest: digest ?? quarantineDigest};
+}
+
 test('a table of many targets lists those to avoid, within datagrams', () => {
   // Guards against tables that exceed a datagram, which are not sent: then no
   // member has any load, and the standby probes as well.
--- a/src/entry/peer_message_fuzz_test.ts
+++ b/src/entry/peer_message_fuzz_test.ts
@@ -34,6 +34,7 @@
     members: [{...SENDER, host: '10.0.0.8', ageMs: 90}],
     domainSize: 2,
     fleetSize: 6,
+    quarantineDigest: 77,
   },
   {
     type: 'changes',
@@ -68,7 +69,8 @@
     type: 'outcomes',
     sender: SENDER,
     outcomes: [{targetId: 'x', answeredCount: 3, failedCount: 1}],
-    implications: [{fingerprint: 'f', targetId: 'x'}],
+    implications: [{fingerprint: 'f', targetId: 'x', remainingMs: 9_000}],
+    clearedFingerprints: ['g'],
   },
 ];
 
--- a/src/fleet/fleet_node.ts
+++ b/src/fleet/fleet_node.ts
@@ -97,6 +97,7 @@
   private state: MemberState = 'starting';
   private readFailing = false;
   private revision: Revision = 0;
+  private quarantineDigest = 0;
   private confirmedMs: InstantMs = -Infinity;
   private peerConfirmedMs: InstantMs = -Infinity;
   private currentRoles: FleetRoles;
@@ -179,6 +180,11 @@
     this.revision = revision;
   }
 
+  /** Sets the digest of the requests that this VM quarantines. */
+  setQuarantineDigest(digest: number): void {
+    this.quarantineDigest = digest;
+  }
+
   /**
    * Records a confirmation of the position by the store itself.
    *
@@ -471,6 +477,7 @@
       members,
       domainSize: others === 0 ? 0 : others + 1,
       fleetSize: this.isHead ? this.size.current(nowMs) : 0,
+      quarantineDigest: this.quarantineDigest,
     };
   }
 
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -55,6 +55,8 @@
   readonly domainSize: number;
   /** Number of members in all failure domains; 0 if unknown. */
   readonly fleetSize: number;
+  /** Digest of the requests that the sender quarantines; 0 for none. */
+  readonly quarantineDigest: number;
 }
 
 /** Published changes, pushed as soon as the sender applies them. */
@@ -99,6 +101,8 @@
 export interface Implication {
   readonly fingerprint: string;
   readonly targetId: string;
+  /** Time until the implication expires, in milliseconds. */
+  readonly remainingMs: number;
 }
 
 /** Outcome report of a VM, sent to the head of its failure domain. */
@@ -107,6 +111,8 @@
   readonly sender: ReportedMember;
   readonly outcomes: readonly OutcomeCount[];
   readonly implications: readonly Implication[];
+  /** Requests that targets have answered after all. */
+  readonly clearedFingerprints: readonly string[];
 }
 
 /** Union of all messages between VMs. */
--- a/src/peer_datagram/fleet_codec.ts
+++ b/src/peer_datagram/fleet_codec.ts
@@ -15,6 +15,7 @@
   TargetLoadReport,
 } from '../fleet/index.js';
 import {packDelta, unpackDelta} from './published_codec.js';
+import {IMPLICATION_TTL_MS} from '../recovery/index.js';
 import {WireError, WireReader} from './wire_reader.js';
 
 /** Version of the encoding; messages of other versions are rejected. */
@@ -81,6 +82,7 @@
         message.members.map(packMember),
         message.domainSize,
         message.fleetSize,
+        message.quarantineDigest,
       ];
     case 'changes':
       return [packPosition(message.position), packDelta(message.delta)];
@@ -90,6 +92,7 @@
       return [
         message.outcomes.map(packOutcome),
         message.implications.map(packImplication),
+        message.clearedFingerprints,
       ];
   }
 }
@@ -106,6 +109,7 @@
         members: reader.array(unpackMember),
         domainSize: reader.count(),
         fleetSize: reader.count(),
+        quarantineDigest: reader.optionalCount(0),
       };
     case 'changes':
       return {
@@ -126,6 +130,7 @@
         sender,
         outcomes: reader.array(unpackOutcome),
         implications: reader.array(unpackImplication),
+        clearedFingerprints: reader.optionalStrings(),
       };
     default:
       throw new WireError(`unknown message type ${type}`);
@@ -213,9 +218,14 @@
 }
 
 function packImplication(implication: Implication): unknown {
-  return [implication.fingerprint, implication.targetId];
+  const {fingerprint, targetId, remainingMs} = implication;
+  return [fingerprint, targetId, Math.round(remainingMs)];
 }
 
 function unpackImplication(reader: WireReader): Implication {
-  return {fingerprint: reader.string(), targetId: reader.string()};
+  return {
+    fingerprint: reader.string(),
+    targetId: reader.string(),
+    remainingMs: reader.optionalCount(IMPLICATION_TTL_MS),
+  };
 }
--- a/src/peer_datagram/fleet_codec_test.ts
+++ b/src/peer_datagram/fleet_codec_test.ts
@@ -91,6 +91,7 @@
     members: fc.array(member, {maxLength: 4}),
     domainSize: count,
     fleetSize: count,
+    quarantineDigest: count,
   }),
   fc.record({
     type: fc.constant('changes' as const),
@@ -126,9 +127,11 @@
       fc.record({targetId: text, answeredCount: count, failedCount: count}),
       {maxLength: 4},
     ),
-    implications: fc.array(fc.record({fingerprint: text, targetId: text}), {
-      maxLength: 4,
-    }),
+    implications: fc.array(
+      fc.record({fingerprint: text, targetId: text, remainingMs: count}),
+      {maxLength: 4},
+    ),
+    clearedFingerprints: fc.array(text, {maxLength: 4}),
   }),
 );
 
--- a/src/peer_datagram/wire_reader.ts
+++ b/src/peer_datagram/wire_reader.ts
@@ -56,6 +56,16 @@
     return value;
   }
 
+  /** Reads a count that senders of an earlier release leave out. */
+  optionalCount(absentValue: number): number {
+    return this.hasNext() ? this.count() : absentValue;
+  }
+
+  /** Reads strings that senders of an earlier release leave out. */
+  optionalStrings(): readonly string[] {
+    return this.hasNext() ? this.nested().rest() : [];
+  }
+
   /** Reads a boolean. */
   boolean(): boolean {
     const value = this.next();
@@ -84,6 +94,19 @@
     return this.next();
   }
 
+  private hasNext(): boolean {
+    return this.fields[this.position] !== undefined;
+  }
+
+  /** Reads all remaining fields as strings. */
+  private rest(): readonly string[] {
+    const strings: string[] = [];
+    while (this.position < this.fields.length) {
+      strings.push(this.string());
+    }
+    return strings;
+  }
+
   private next(): unknown {
     const value = this.fields[this.position];
     this.position += 1;
--- a/src/recovery/fingerprint_quarantine.ts
+++ b/src/recovery/fingerprint_quarantine.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type {InstantMs} from '../core/index.js';
-import {CrashQuarantine} from './types.js';
+import {CrashQuarantine, type QuarantinedFingerprint} from './types.js';
 
 /** Crashed targets that put a fingerprint into quarantine. */
 const DEFAULT_QUARANTINE_TARGET_COUNT = 2;
@@ -13,7 +13,7 @@
 const MAX_TARGETS_PER_FINGERPRINT = 16;
 
 /** Duration of an implication or a quarantine, in milliseconds. */
-const QUARANTINE_MS = 600_000;
+export const IMPLICATION_TTL_MS = 600_000;
 
 /**
  * Time for which a cleared fingerprint is gossiped to peers, in milliseconds.
@@ -53,7 +53,10 @@
   private readonly maxFingerprints: number;
   private readonly quarantineTargetCount: number;
   private readonly implicated = new Map<string, Implication>();
+  /** Fingerprints that this VM cleared. */
   private readonly clearedUntilMs = new Map<string, InstantMs>();
+  /** Fingerprints that a peer cleared. */
+  private readonly peerClearedUntilMs = new Map<string, InstantMs>();
 
   /** @param options - see {@link FingerprintQuarantineOptions} */
   constructor(options: FingerprintQuarantineOptions = {}) {
@@ -69,11 +72,17 @@
     nowMs: InstantMs,
   ): void {
     for (const fingerprint of fingerprints) {
-      const entry = this.addImplication(fingerprint, targetId, nowMs);
+      const entry = this.addImplication(
+        fingerprint,
+        targetId,
+        nowMs,
+        IMPLICATION_TTL_MS,
+      );
       if (entry.targetIds.has(targetId)) {
         entry.localTargetIds.add(targetId);
       }
       this.clearedUntilMs.delete(fingerprint);
+      this.peerClearedUntilMs.delete(fingerprint);
     }
   }
 
@@ -81,8 +90,21 @@
     fingerprint: string,
     targetId: string,
     nowMs: InstantMs,
+    options: {readonly remainingMs: number} = {
+      remainingMs: IMPLICATION_TTL_MS,
+    },
   ): void {
-    this.addImplication(fingerprint, targetId, nowMs);
+    const clearedUntilMs = Math.max(
+      this.clearedUntilMs.get(fingerprint) ?? -Infinity,
+      this.peerClearedUntilMs.get(fingerprint) ?? -Infinity,
+    );
+    if (clearedUntilMs > nowMs) {
+      return;
+    }
+    const remainingMs = Math.min(options.remainingMs, IMPLICATION_TTL_MS);
+    if (remainingMs > 0) {
+      this.addImplication(fingerprint, targetId, nowMs, remainingMs);
+    }
   }
 
   override onAnswered(fingerprint: string, nowMs: InstantMs): boolean {
@@ -94,8 +116,10 @@
     return true;
   }
 
-  override onPeerCleared(fingerprint: string): void {
+  override onPeerCleared(fingerprint: string, nowMs: InstantMs): void {
     this.implicated.delete(fingerprint);
+    this.peerClearedUntilMs.set(fingerprint, nowMs + CLEARED_GOSSIP_MS);
+    deleteOldestIfOver(this.peerClearedUntilMs, this.maxFingerprints);
   }
 
   override isQuarantined(fingerprint: string, nowMs: InstantMs): boolean {
@@ -109,14 +133,21 @@
   }
 
   override quarantinedCount(nowMs: InstantMs): number {
-    let count = 0;
-    for (const {expiresMs, targetIds} of this.implicated.values()) {
-      const hasExpired = expiresMs <= nowMs;
-      if (!hasExpired && targetIds.size >= this.quarantineTargetCount) {
-        count += 1;
+    return this.quarantined(nowMs).length;
+  }
+
+  override quarantined(nowMs: InstantMs): readonly QuarantinedFingerprint[] {
+    const quarantined: QuarantinedFingerprint[] = [];
+    for (const [fingerprint, {targetIds, expiresMs}] of this.implicated) {
+      if (expiresMs > nowMs && targetIds.size >= this.quarantineTargetCount) {
+        quarantined.push({
+          fingerprint,
+          targetIds: [...targetIds].slice(0, this.quarantineTargetCount),
+          expiresMs,
+        });
       }
     }
-    return count;
+    return quarantined;
   }
 
   override isImplicated(fingerprint: string, nowMs: InstantMs): boolean {
@@ -148,6 +179,7 @@
     fingerprint: string,
     targetId: string,
     nowMs: InstantMs,
+    remainingMs: number,
   ): Implication {
     const entry = this.findUnexpired(fingerprint, nowMs) ?? {
       localTargetIds: new Set(),
@@ -158,7 +190,7 @@
     if (hasCapacity && !entry.targetIds.has(targetId)) {
       // Gossip that repeats a known crash does not extend the quarantine.
       entry.targetIds.add(targetId);
-      entry.expiresMs = nowMs + QUARANTINE_MS;
+      entry.expiresMs = Math.max(entry.expiresMs, nowMs + remainingMs);
     }
     this.implicated.delete(fingerprint);
     this.implicated.set(fingerprint, entry);
--- a/src/recovery/fingerprint_quarantine_test.ts
+++ b/src/recovery/fingerprint_quarantine_test.ts
@@ -29,7 +29,7 @@
   assert.deepEqual(quarantine.implications(1).get('f'), []);
   const peer = new FingerprintQuarantine();
   peer.onPeerImplication('f', 't-1', 0);
-  peer.onPeerCleared('f');
+  peer.onPeerCleared('f', 0);
   assert.equal(peer.isImplicated('f', 1), false);
 });
 
--- a/src/recovery/index.ts
+++ b/src/recovery/index.ts
@@ -7,6 +7,7 @@
 export * from './types.js';
 export {
   FingerprintQuarantine,
+  IMPLICATION_TTL_MS,
   type FingerprintQuarantineOptions,
 } from './fingerprint_quarantine.js';
 export {HomeVm, type HandOverPlan, type HomeVmOptions} from './home_vm.js';
--- a/src/recovery/types.ts
+++ b/src/recovery/types.ts
@@ -98,6 +98,14 @@
   };
 }
 
+/** A fingerprint that no target receives. */
+export interface QuarantinedFingerprint {
+  readonly fingerprint: string;
+  /** Lost targets that suffice for the quarantine. */
+  readonly targetIds: readonly string[];
+  readonly expiresMs: InstantMs;
+}
+
 /** Tracks requests implicated in crashes of targets. Does no I/O. */
 export abstract class CrashQuarantine {
   /** Implicates the requests that were in flight when a target crashed. */
@@ -114,15 +122,22 @@
    */
   abstract onAnswered(fingerprint: string, nowMs: InstantMs): boolean;
 
-  /** Applies an implication that a peer reported. */
+  /**
+   * Applies an implication that a peer reported. Ignored if a response has
+   * cleared the fingerprint since.
+   *
+   * @param options - `remainingMs`: time until it expires at the peer, in
+   *     milliseconds
+   */
   abstract onPeerImplication(
     fingerprint: string,
     targetId: string,
     nowMs: InstantMs,
+    options?: {readonly remainingMs: number},
   ): void;
 
   /** Clears a fingerprint that a peer reported as cleared. */
-  abstract onPeerCleared(fingerprint: string): void;
+  abstract onPeerCleared(fingerprint: string, nowMs: InstantMs): void;
 
   /** Returns whether the request must not be sent to any target. */
   abstract isQuarantined(fingerprint: string, nowMs: InstantMs): boolean;
@@ -133,6 +148,9 @@
   /** Returns the number of quarantined fingerprints. */
   abstract quarantinedCount(nowMs: InstantMs): number;
 
+  /** Lists the quarantined fingerprints, the latest ones last. */
+  abstract quarantined(nowMs: InstantMs): readonly QuarantinedFingerprint[];
+
   /** Returns whether the request was in flight at one crash or more. */
   abstract isImplicated(fingerprint: string, nowMs: InstantMs): boolean;
 
