Recognise copies of a crashing request by their resource in the presets daemon

New test of request_engine_test.ts: a third copy with another query is refused with 422 after two crashes; it failed with the resource taken out of the built file. Requests with an idempotency key are told apart by the key alone, as before.

--- a/bench/demand.ts
+++ b/bench/demand.ts
@@ -103,6 +103,7 @@
       method,
       path: `${pathPrefix}/${job.id}`,
       fingerprint: `hash-${job.id}`,
+      resourceFingerprint: `hash-${job.id}`,
       bodySizeBytes: 0,
       idempotencyKey: idempotent ? undefined : `key-${job.id}`,
       attempt: isFirst ? 1 : job.copyCount,
--- a/src/caller_http/caller_server_test.ts
+++ b/src/caller_http/caller_server_test.ts
@@ -278,6 +278,20 @@
   assert.match(received, /retry-after: 1\r\n/);
 });
 
+test('copies that differ in the query share the resource fingerprint', async t => {
+  const {port, exchanges} = await startServer(t, echo);
+  const send = (path: string) =>
+    sendRaw(port, `GET ${path} HTTP/1.1\r\n${HOST}connection: close\r\n\r\n`);
+  await send('/a?page=1');
+  await send('/a?page=2');
+  await send('/b?page=1');
+  const requests = exchanges.map(({request}) => request);
+  const resources = requests.map(each => each.resourceFingerprint);
+  assert.equal(resources[0], resources[1]);
+  assert.equal(new Set(resources).size, 2);
+  assert.equal(new Set(requests.map(each => each.fingerprint)).size, 3);
+});
+
 test('the fingerprint depends on method, path and body', async t => {
   // Guards against attributing a crash to a different request.
   const {port, exchanges} = await startServer(t, echo);
--- a/src/caller_http/native_caller_protocol.ts
+++ b/src/caller_http/native_caller_protocol.ts
@@ -59,12 +59,14 @@
 ): CallerRequest {
   const {method, arrivedMs} = received;
   const bodyHash = body === undefined ? '' : hashBytes(body);
+  const [pathOnly = head.path] = head.path.split('?', 1);
   return {
     requestId,
     service: head.service,
     method,
     path: head.path,
     fingerprint: hashText(`${method} ${head.path}\n${bodyHash}`),
+    resourceFingerprint: hashText(`${method} ${pathOnly}\n${bodyHash}`),
     bodySizeBytes: body?.length ?? 0,
     idempotencyKey: head.idempotencyKey,
     attempt: head.attempt,
--- a/src/daemon/effect_runner_test.ts
+++ b/src/daemon/effect_runner_test.ts
@@ -95,6 +95,7 @@
       method: 'GET',
       path: '/',
       fingerprint: 'f',
+      resourceFingerprint: 'f',
       bodySizeBytes: 0,
       idempotencyKey: undefined,
       attempt: undefined,
--- a/src/engine/active_request.ts
+++ b/src/engine/active_request.ts
@@ -11,6 +11,7 @@
 } from '../core/index.js';
 import type {QueuedRequest} from '../limits/index.js';
 import type {KindPreset} from '../preset/index.js';
+import type {RequestFingerprints} from '../recovery/index.js';
 import type {Attempt} from '../retries/index.js';
 import type {ServiceSnapshot} from './service_snapshot.js';
 import type {ServiceState} from './service_state.js';
@@ -49,7 +50,7 @@
   readonly deadlineMs: InstantMs;
   readonly estimatedMs: number;
   /** Identifies the request in the crash quarantine. */
-  readonly crashFingerprint: string;
+  readonly crashFingerprints: RequestFingerprints;
   /** Verdicts of the attempts that have ended. */
   readonly verdicts: Verdict[] = [];
   /** Targets at which an attempt of this request failed. */
@@ -76,7 +77,7 @@
     this.queuedMs = options.nowMs;
     this.deadlineMs = options.deadlineMs;
     this.estimatedMs = options.service.estimateMs(options.kind, options.nowMs);
-    this.crashFingerprint = crashFingerprintOf(options.caller);
+    this.crashFingerprints = crashFingerprintsOf(options.caller);
   }
 
   get urgent(): boolean {
@@ -113,12 +114,15 @@
 }
 
 /**
- * Returns the fingerprint of a request for the crash quarantine: the hash of
- * its idempotency key, which bounds the size of the gossiped fact, or else the
- * hash of its method, path and body.
+ * Returns the fingerprints of a request for the crash quarantine: the hash of
+ * its idempotency key, which bounds the size of the gossiped fact, or else those
+ * of its method, path and body.
  */
-function crashFingerprintOf(caller: CallerRequest): string {
-  return caller.idempotencyKey === undefined
-    ? caller.fingerprint
-    : hashText(`key\u0000${caller.idempotencyKey}`);
+function crashFingerprintsOf(caller: CallerRequest): RequestFingerprints {
+  const {idempotencyKey, fingerprint, resourceFingerprint} = caller;
+  if (idempotencyKey === undefined) {
+    return {fingerprint, resourceFingerprint};
+  }
+  const keyHash = hashText(`key\u0000${idempotencyKey}`);
+  return {fingerprint: keyHash, resourceFingerprint: keyHash};
 }
--- a/src/engine/arrival.ts
+++ b/src/engine/arrival.ts
@@ -80,10 +80,10 @@
   }
 
   private accept(request: ActiveRequest, nowMs: InstantMs): void {
-    const {quarantine} = this.context.options;
+    const {quarantine} = this.context;
     if (nowMs >= request.deadlineMs) {
       this.completion.refuse(request, 'deadline');
-    } else if (quarantine.isQuarantined(request.crashFingerprint, nowMs)) {
+    } else if (quarantine.isQuarantined(request.crashFingerprints, nowMs)) {
       this.completion.refuse(request, 'quarantined', 'may-have-run');
     } else if (!request.needsClaim) {
       this.dispatcher.enqueue(request, nowMs);
--- a/src/engine/attempt_flow.ts
+++ b/src/engine/attempt_flow.ts
@@ -214,8 +214,7 @@
     const isLate = nowMs >= request.deadlineMs;
     const outcome = isError ? 'server-error' : 'answered';
     this.finish(running, isLate ? 'timed-out' : outcome, nowMs);
-    const {quarantine} = this.context.options;
-    quarantine.onAnswered(request.crashFingerprint, nowMs);
+    this.context.quarantine.onAnswered(request.crashFingerprints, nowMs);
     this.completion.respond(request, {type: 'response', token: attempt.token});
   }
 
@@ -257,22 +256,24 @@
    * @returns true if one of them was already implicated before this signal
    */
   private onCrash(running: RunningAttempt, nowMs: InstantMs): boolean {
-    const {quarantine} = this.context.options;
+    const {quarantine} = this.context;
     const {targetId} = running.attempt;
     const target = running.request.service.targets.get(targetId);
     const inFlight = [...(target?.requests ?? [])].filter(
       other => other === running.request || other.attempt?.isSent === true,
     );
-    const fingerprints = [
-      ...new Set(inFlight.map(other => other.crashFingerprint)),
-    ];
-    const wasImplicated = fingerprints.some(fingerprint =>
-      quarantine.isImplicated(fingerprint, nowMs),
+    const wasImplicated = inFlight.some(({crashFingerprints}) =>
+      quarantine.isImplicated(crashFingerprints, nowMs),
+    );
+    for (const {crashFingerprints} of inFlight) {
+      quarantine.onCrash(targetId, crashFingerprints, nowMs);
+    }
+    const requests = new Set(
+      inFlight.map(other => other.crashFingerprints.fingerprint),
     );
-    quarantine.onCrash(targetId, fingerprints, nowMs);
     // Until a VM receives this fact, a copy may crash another of its targets.
     this.context.hasUrgentFacts = true;
-    const details = {targetId, requestCount: fingerprints.length};
+    const details = {targetId, requestCount: requests.size};
     this.context.emitEvent('target', 'target-crashed', details);
     return wasImplicated;
   }
@@ -374,13 +375,13 @@
   }
 
   private isImplicated(request: ActiveRequest, nowMs: InstantMs): boolean {
-    const {quarantine} = this.context.options;
-    return quarantine.isImplicated(request.crashFingerprint, nowMs);
+    const {quarantine} = this.context;
+    return quarantine.isImplicated(request.crashFingerprints, nowMs);
   }
 
   private isQuarantined(request: ActiveRequest, nowMs: InstantMs): boolean {
-    const {quarantine} = this.context.options;
-    return quarantine.isQuarantined(request.crashFingerprint, nowMs);
+    const {quarantine} = this.context;
+    return quarantine.isQuarantined(request.crashFingerprints, nowMs);
   }
 }
 
--- a/src/engine/dispatcher.ts
+++ b/src/engine/dispatcher.ts
@@ -124,11 +124,11 @@
     request: ActiveRequest,
     nowMs: InstantMs,
   ): RefusalReason | undefined {
-    const {quarantine} = this.context.options;
+    const {quarantine} = this.context;
     if (nowMs >= request.deadlineMs) {
       return 'deadline';
     }
-    if (quarantine.isQuarantined(request.crashFingerprint, nowMs)) {
+    if (quarantine.isQuarantined(request.crashFingerprints, nowMs)) {
       return 'quarantined';
     }
     return this.isAdmitted(request, nowMs) ? undefined : 'overloaded';
--- a/src/engine/engine_context.ts
+++ b/src/engine/engine_context.ts
@@ -6,7 +6,7 @@
 import type {InstantMs, RandomSource} from '../core/index.js';
 import type {Preset, VmListDocument} from '../preset/index.js';
 import type {ProbeScheduler} from '../probing/index.js';
-import type {CrashQuarantine} from '../recovery/index.js';
+import {RequestQuarantine, type CrashQuarantine} from '../recovery/index.js';
 import type {TargetPool} from '../routing/index.js';
 import type {EventPart} from '../timeline/index.js';
 import type {ActiveRequest} from './active_request.js';
@@ -49,6 +49,7 @@
   readonly pendingClaims = new Map<string, ActiveRequest>();
   readonly services = new Map<string, ServiceState>();
   readonly deadlines = new DeadlineWheel<ActiveRequest>();
+  readonly quarantine: RequestQuarantine;
   preset: Preset | undefined;
   vmList: VmListDocument | undefined;
   readyVmIds: readonly string[] = [];
@@ -60,6 +61,7 @@
 
   constructor(options: RequestEngineOptions) {
     this.options = options;
+    this.quarantine = new RequestQuarantine(options.quarantine);
     this.liveVmIds = [options.vmId];
   }
 
--- a/src/engine/engine_fixture.ts
+++ b/src/engine/engine_fixture.ts
@@ -280,6 +280,7 @@
     method: fields.path === '/book' ? 'POST' : 'GET',
     path: '/price',
     fingerprint: `hash-${requestId}`,
+    resourceFingerprint: fields.fingerprint ?? `hash-${requestId}`,
     bodySizeBytes: 0,
     idempotencyKey: undefined,
     attempt: undefined,
--- a/src/engine/request_engine_test.ts
+++ b/src/engine/request_engine_test.ts
@@ -9,7 +9,12 @@
   fixtureTargets,
   readyEngine,
 } from './engine_fixture.js';
-import type {AttemptSignal, Effect, RequestEngine} from './index.js';
+import type {
+  AttemptSignal,
+  CallerRequest,
+  Effect,
+  RequestEngine,
+} from './index.js';
 
 type EffectOf<T extends Effect['type']> = Extract<Effect, {type: T}>;
 
@@ -175,9 +180,35 @@
 test('a request that crashes two targets is quarantined', () => {
   // Guards against one request that crashes one target after another.
   const engine = readyEngine({seed: 1, targetCount: 2, nowMs: 0});
-  const bad = {fingerprint: 'bad'};
+  crashTwice(engine, () => ({fingerprint: 'bad'}));
+  assert.equal(
+    refusalText(
+      engine.onRequest(fixtureRequest('r3', {fingerprint: 'bad'}), 3),
+    ),
+    '422 may-have-run quarantined',
+  );
+});
+
+test('a request that crashes two targets does not pass by another query', () => {
+  const engine = readyEngine({seed: 1, targetCount: 2, nowMs: 0});
+  const copy = (index: number): Partial<CallerRequest> => ({
+    fingerprint: `query-${index}`,
+    resourceFingerprint: 'bad',
+  });
+  crashTwice(engine, copy);
+  assert.equal(
+    refusalText(engine.onRequest(fixtureRequest('r3', copy(3)), 3)),
+    '422 may-have-run quarantined',
+  );
+});
+
+/** Sends two requests, each of which crashes the target that it is sent to. */
+function crashTwice(
+  engine: RequestEngine,
+  fields: (index: number) => Partial<CallerRequest>,
+): void {
   const outcomes = ['r1', 'r2'].map((requestId, index) => {
-    const request = fixtureRequest(requestId, bad);
+    const request = fixtureRequest(requestId, fields(index));
     const {token, targetId} = findEffect(
       engine.onRequest(request, index),
       'send',
@@ -190,11 +221,7 @@
     '502 may-have-run connection-lost',
     '502 may-have-run connection-lost',
   ]);
-  assert.equal(
-    refusalText(engine.onRequest(fixtureRequest('r3', bad), 3)),
-    '422 may-have-run quarantined',
-  );
-});
+}
 
 test('an attempt that expires during a pause is cancelled, not sent', () => {
   // Guards against a process that resumes and sends an expired request.
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -19,6 +19,8 @@
   readonly path: string;
   /** Hash of method, path and body. */
   readonly fingerprint: string;
+  /** Hash of method, path without query, and body. */
+  readonly resourceFingerprint: string;
   readonly bodySizeBytes: number;
   readonly idempotencyKey: string | undefined;
   /** Attempt count sent by the caller; undefined if it sent none. */
--- a/src/recovery/request_quarantine.ts
+++ b/src/recovery/request_quarantine.ts
@@ -86,9 +86,11 @@
   ): number {
     const {quarantine} = this;
     const {fingerprint, resourceFingerprint} = request;
-    const fingerprints = this.wasAnswered(resourceFingerprint, nowMs)
-      ? [fingerprint]
-      : [fingerprint, resourceFingerprint];
+    const fingerprints = [fingerprint];
+    const isProtected = this.wasAnswered(resourceFingerprint, nowMs);
+    if (resourceFingerprint !== fingerprint && !isProtected) {
+      fingerprints.push(resourceFingerprint);
+    }
     quarantine.onCrash(targetId, fingerprints, nowMs);
     const counts = fingerprints.map(each =>
       quarantine.crashedTargetCount(each, nowMs),
@@ -132,6 +134,22 @@
     );
   }
 
+  /**
+   * Returns whether the request was in flight at the loss of a target.
+   *
+   * @param request - fingerprints of the request
+   * @param nowMs - current instant in milliseconds
+   */
+  isImplicated(request: RequestFingerprints, nowMs: InstantMs): boolean {
+    const {quarantine} = this;
+    const {fingerprint, resourceFingerprint} = request;
+    return (
+      quarantine.isImplicated(fingerprint, nowMs) ||
+      (quarantine.isImplicated(resourceFingerprint, nowMs) &&
+        !this.wasAnswered(resourceFingerprint, nowMs))
+    );
+  }
+
   private wasAnswered(resourceFingerprint: string, nowMs: InstantMs): boolean {
     const untilMs = this.answeredUntilMs.get(resourceFingerprint);
     return untilMs !== undefined && nowMs < untilMs;
