--- a/src/engine/attempt_flow.ts
+++ b/src/engine/attempt_flow.ts
@@ -214,7 +214,9 @@
     const isLate = nowMs >= request.deadlineMs;
     const outcome = isError ? 'server-error' : 'answered';
     this.finish(running, isLate ? 'timed-out' : outcome, nowMs);
-    this.context.quarantine.onAnswered(request.crashFingerprints, nowMs);
+    if (!isError) {
+      this.context.quarantine.onAnswered(request.crashFingerprints, nowMs);
+    }
     this.completion.respond(request, {type: 'response', token: attempt.token});
   }
 
--- a/src/engine/request_engine_test.ts
+++ b/src/engine/request_engine_test.ts
@@ -202,12 +202,35 @@
   );
 });
 
+test('a server error does not clear a request that crashes targets', () => {
+  const engine = readyEngine({seed: 1, targetCount: 3, nowMs: 0});
+  const bad = {fingerprint: 'bad'};
+  crashTwice(
+    engine,
+    () => bad,
+    () => {
+      const request = fixtureRequest('r9', bad);
+      const {token} = findEffect(engine.onRequest(request, 0), 'send');
+      engine.onAttemptSignal(token, {type: 'sent'}, 0);
+      engine.onAttemptSignal(token, {...ok, status: 500}, 0);
+    },
+  );
+  assert.equal(
+    refusalText(engine.onRequest(fixtureRequest('r3', bad), 3)),
+    '422 may-have-run quarantined',
+  );
+});
+
 /** Sends two requests, each of which crashes the target that it is sent to. */
 function crashTwice(
   engine: RequestEngine,
   fields: (index: number) => Partial<CallerRequest>,
+  between: () => void = () => undefined,
 ): void {
   const outcomes = ['r1', 'r2'].map((requestId, index) => {
+    if (index > 0) {
+      between();
+    }
     const request = fixtureRequest(requestId, fields(index));
     const {token, targetId} = findEffect(
       engine.onRequest(request, index),
