--- a/src/cli/deploy_test.ts
+++ b/src/cli/deploy_test.ts
@@ -20,9 +20,12 @@
 test('deploy contains only files that are tested', () => {
   // Guards against a file that no test validates.
   assert.deepEqual(readdirSync(DEPLOY).sort(), [
+    'days',
     ...SIZES.keys(),
     'system.toml',
   ]);
+  // Days that the users' benchmark plays.
+  assert.deepEqual(readdirSync(`${DEPLOY}/days`), ['capped.toml']);
   for (const name of SIZES.keys()) {
     assert.deepEqual(readdirSync(`${DEPLOY}/${name}`).sort(), [
       'operators.jsonc',
--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -11,6 +11,7 @@
   TargetForecast,
   TargetOutcome,
 } from '../load/index.js';
+import type {TargetLimits} from '../limits/index.js';
 import {RequestQuarantine, type CrashQuarantine} from '../recovery/index.js';
 import type {WindowLimit} from '../retries/index.js';
 import {WeightedSplit, type RouteTable} from '../routes/index.js';
@@ -68,6 +69,7 @@
   readonly quarantine: CrashQuarantine;
   readonly random: RandomSource;
   readonly resendLimit: WindowLimit;
+  readonly targetLimits: TargetLimits;
   /** Returns an upper bound of the number of VMs. */
   readonly fleetSize: (nowMs: InstantMs) => number;
   /** Takes all probes from the probe budget, or none and returns false. */
@@ -489,11 +491,14 @@
     signal: Extract<AttemptSignal, {readonly type: 'response'}>,
     nowMs: InstantMs,
   ): void {
-    const {board} = this.options;
+    const {board, targetLimits} = this.options;
     const {token, targetId} = attempt;
     if (signal.figures !== undefined) {
       board.onLoadReport(targetId, {...signal.figures, measuredMs: nowMs});
     }
+    if (signal.limit !== undefined && signal.misdirected !== true) {
+      targetLimits.onStatement(targetId, signal.limit, nowMs);
+    }
     if (signal.refused) {
       attempt.verdict = 'not-run';
       delivery.lastFailure = 'refused';
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 import type {InstantMs, Verdict} from '../core/index.js';
+import type {LimitStatement} from '../limits/index.js';
 import type {ClaimAnswer, ClaimRequest, Settlement} from '../recovery/index.js';
 import type {EventPart} from '../timeline/index.js';
 
@@ -106,6 +107,8 @@
       readonly inFlight: number | undefined;
       /** Detailed load; undefined if not in the response. */
       readonly figures?: LoadFigures | undefined;
+      /** Limit that the target names; undefined if the protocol has none. */
+      readonly limit?: LimitStatement | undefined;
       /** Another target responded at this address; it did not run the work. */
       readonly misdirected?: boolean;
     }
--- a/src/entry/composition_root.ts
+++ b/src/entry/composition_root.ts
@@ -10,6 +10,7 @@
 import {Clock, RandomSource, SeededRandom, SystemClock} from '../core/index.js';
 import {DeliveryEngine, type RoutedRequest} from '../delivery/index.js';
 import {FleetNode} from '../fleet/index.js';
+import {TargetLimits} from '../limits/index.js';
 import {LoadBoard} from '../load/index.js';
 import {ProbeTokenBucket} from '../probing/index.js';
 import {DatagramLink, PublishedServer} from '../peer_datagram/index.js';
@@ -74,6 +75,7 @@
         fleet: get(FleetNode),
         board: get(LoadBoard),
         quarantine: get(CrashQuarantine),
+        limits: get(TargetLimits),
         engine: get(DeliveryEngine),
         runner: get(DeliveryRunner),
         callers: get<CallerServer<RoutedRequest>>(CallerServer),
@@ -102,6 +104,7 @@
   container
     .bind(LoadBoard)
     .toDynamicValue(() => new LoadBoard({failureDomain, vmKey: settings.host}));
+  container.bind(TargetLimits).toDynamicValue(() => new TargetLimits());
   container.bind(CrashQuarantine).toDynamicValue(
     () =>
       new FingerprintQuarantine({
@@ -130,6 +133,7 @@
       quarantine: get(CrashQuarantine),
       random: get(RandomSource),
       resendLimit: settings.resendLimit,
+      targetLimits: get(TargetLimits),
       fleetSize: nowMs => fleet.fleetSize(nowMs),
       takeProbes: (count, nowMs) => {
         const targetCount = get(PublishedState).targets.size;
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -12,6 +12,7 @@
   FleetNode,
   FleetRoles,
 } from '../fleet/index.js';
+import type {TargetLimits} from '../limits/index.js';
 import type {LoadBoard} from '../load/index.js';
 import {
   fetchPublished,
@@ -87,6 +88,7 @@
   readonly fleet: FleetNode;
   readonly board: LoadBoard;
   readonly quarantine: CrashQuarantine;
+  readonly limits: TargetLimits;
   readonly engine: DeliveryEngine;
   readonly runner: DeliveryRunner;
   readonly callers: CallerServer<RoutedRequest>;
@@ -286,6 +288,7 @@
     this.checkPause(nowMs);
     this.sendAll(fleet.onTick(nowMs));
     this.logRoles();
+    this.logLimits(nowMs);
     reader.setActive(fleet.shouldRead(nowMs));
     const work = sharing.onTick(state.targets, nowMs);
     this.sendAll(work.dispatches);
@@ -314,6 +317,18 @@
     });
   }
 
+  private logLimits(nowMs: number): void {
+    const {limits, log, metrics} = this.parts;
+    for (const {targetId, perSecond} of limits.onTick(nowMs)) {
+      metrics.setTargetLimit(targetId, perSecond);
+      if (perSecond > 0) {
+        log.warn('limits', 'target limited', {targetId, perSecond});
+      } else {
+        log.warn('limits', 'target no longer limited', {targetId});
+      }
+    }
+  }
+
   private logRoles(): void {
     const {roles} = this.parts.fleet;
     if (roles === this.lastRoles) {
--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -46,6 +46,22 @@
     registers: [this.registry],
   });
 
+  private readonly targetLimits = new Gauge({
+    name: 'sycamorepitch_target_limit_per_second',
+    help: 'Requests per second that a target takes from all VMs together',
+    labelNames: ['target'],
+    registers: [this.registry],
+  });
+
+  /** Sets the limit that a target names; 0 for none. */
+  setTargetLimit(targetId: string, perSecond: number): void {
+    if (perSecond > 0) {
+      this.targetLimits.set({target: targetId}, perSecond);
+    } else {
+      this.targetLimits.remove({target: targetId});
+    }
+  }
+
   /** Counts a request of a caller. */
   onRequest(): void {
     this.requests.inc();
--- a/src/limits/index.ts
+++ b/src/limits/index.ts
@@ -13,3 +13,11 @@
   type QueuedRequest,
 } from './request_queue.js';
 export {ServiceTimeEstimator} from './service_time.js';
+export {
+  MIN_LIMIT_PER_SECOND,
+  readLimit,
+  TargetLimits,
+  type KnownLimit,
+  type LimitChange,
+  type LimitStatement,
+} from './target_limits.js';
--- a/src/target_http/target_protocol.ts
+++ b/src/target_http/target_protocol.ts
@@ -6,6 +6,7 @@
  */
 import type {HeaderFields} from '../caller_http/hop_headers.js';
 import type {LoadFigures} from '../engine/index.js';
+import type {LimitStatement} from '../limits/index.js';
 import type {AttemptRequest} from './attempt.js';
 
 /** Report about a target that one of its responses carries. */
@@ -17,6 +18,8 @@
   readonly inFlight: number | undefined;
   /** Detailed load; undefined if not reported. */
   readonly figures?: LoadFigures | undefined;
+  /** Limit that the target names; undefined if the protocol has none. */
+  readonly limit?: LimitStatement | undefined;
   /** A target other than the intended one responded at the address. */
   readonly misdirected?: boolean;
 }
