Keep the limits that targets name, by requests handed out to VMs

Cause: the statement had no owner in the fleet. The acting head of the target's failure domain now hands out single requests at the rate of the limit, by demand, valid for 1.6 s; a VM sends to a limited target only with such a grant. Heads count the VMs that report and pass the count on, so that the parts of a cut fleet add up to one limit.

--- a/bench/delivery_model.ts
+++ b/bench/delivery_model.ts
@@ -12,7 +12,7 @@
   type RoutedRequest,
 } from '../src/delivery/index.js';
 import type {AttemptSignal} from '../src/engine/index.js';
-import {TargetLimits} from '../src/limits/index.js';
+import {RequestGrants, TargetLimits} from '../src/limits/index.js';
 import {LoadBoard} from '../src/load/index.js';
 import {ProbeTokenBucket} from '../src/probing/index.js';
 import {FingerprintQuarantine} from '../src/recovery/index.js';
@@ -391,6 +391,7 @@
       quarantine: new FingerprintQuarantine({quarantineTargetCount: 3}),
       random: new SeededRandom({seed: scenario.seed + index + 1}),
       targetLimits: new TargetLimits(),
+      grants: new RequestGrants(new TargetLimits()),
       resendLimit: {ratio: 0.2, allowance: 75, windowMs: 10_000},
       fleetSize: () => scenario.vmCount,
       takeProbes: (count, nowMs) =>
--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -11,7 +11,7 @@
   TargetForecast,
   TargetOutcome,
 } from '../load/index.js';
-import type {TargetLimits} from '../limits/index.js';
+import type {RequestGrants, TargetLimits} from '../limits/index.js';
 import {RequestQuarantine, type CrashQuarantine} from '../recovery/index.js';
 import type {WindowLimit} from '../retries/index.js';
 import {WeightedSplit, type RouteTable} from '../routes/index.js';
@@ -70,6 +70,7 @@
   readonly random: RandomSource;
   readonly resendLimit: WindowLimit;
   readonly targetLimits: TargetLimits;
+  readonly grants: RequestGrants;
   /** Returns an upper bound of the number of VMs. */
   readonly fleetSize: (nowMs: InstantMs) => number;
   /** Takes all probes from the probe budget, or none and returns false. */
@@ -106,13 +107,14 @@
 
   /** @param options - target loads, quarantine, budgets and random source */
   constructor(private readonly options: DeliveryEngineOptions) {
-    const {board, random} = options;
+    const {board, random, grants} = options;
     const {statistics} = this;
     this.limits = new ServiceLimits(options);
     this.quarantine = new RequestQuarantine(options.quarantine);
     this.selection = new TargetSelection({
       board,
       random,
+      grants,
       statistics,
     });
   }
@@ -197,6 +199,7 @@
     });
     this.deliveries.set(request.requestId, delivery);
     this.limits.onRequest(service, nowMs);
+    this.options.grants.onRequest(service, nowMs);
     this.dispatch(delivery, nowMs);
     return this.takeEffects();
   }
@@ -342,7 +345,7 @@
       return;
     }
     const forecasts = this.selection.forecasts(delivery, nowMs);
-    if (forecasts.length === 0) {
+    if (forecasts.length === 0 && !this.selection.hasUntried(delivery)) {
       this.giveUp(delivery, 'no-target', nowMs);
       return;
     }
@@ -398,7 +401,7 @@
     choice: TargetChoice,
     nowMs: InstantMs,
   ): void {
-    const {board} = this.options;
+    const {board, grants} = this.options;
     const {forecast} = choice;
     const target = board.target(forecast.targetId);
     if (target === undefined) {
@@ -425,6 +428,7 @@
       : Infinity;
     this.deliveriesByToken.set(token, delivery);
     board.onSent(forecast.targetId, nowMs);
+    grants.onSent(forecast.targetId, nowMs);
     this.effects.push({
       type: 'send',
       token,
--- a/src/delivery/delivery_engine_test.ts
+++ b/src/delivery/delivery_engine_test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import {SeededRandom} from '../core/index.js';
 import type {AttemptSignal} from '../engine/index.js';
-import {TargetLimits} from '../limits/index.js';
+import {RequestGrants, TargetLimits} from '../limits/index.js';
 import {LoadBoard} from '../load/index.js';
 import {FingerprintQuarantine} from '../recovery/index.js';
 import type {KnownTarget} from '../registry/index.js';
@@ -61,6 +61,7 @@
       quarantine: new FingerprintQuarantine({quarantineTargetCount: 3}),
       random: new SeededRandom({seed: 3}),
       targetLimits: new TargetLimits(),
+      grants: new RequestGrants(new TargetLimits()),
       resendLimit: {ratio: 0, allowance, windowMs: 10_000},
       fleetSize: () => 1,
       takeProbes: () => options.probes ?? false,
@@ -215,6 +216,7 @@
     quarantine: new FingerprintQuarantine(),
     random: new SeededRandom({seed: 1}),
     targetLimits: new TargetLimits(),
+    grants: new RequestGrants(new TargetLimits()),
     resendLimit: {ratio: 0, allowance: 0, windowMs: 1},
     fleetSize: () => 1,
     takeProbes: () => false,
--- a/src/delivery/target_selection.ts
+++ b/src/delivery/target_selection.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type {InstantMs, RandomSource} from '../core/index.js';
+import type {RequestGrants} from '../limits/index.js';
 import {
   chooseTarget,
   costOf,
@@ -42,6 +43,7 @@
   readonly board: LoadBoard;
   readonly statistics: RouteStatisticsTable;
   readonly random: RandomSource;
+  readonly grants: RequestGrants;
 }
 
 /** Selects targets by the loads that this VM has recorded. */
@@ -49,10 +51,13 @@
   /** @param options - target loads, statistics of routes, random source */
   constructor(private readonly options: TargetSelectionOptions) {}
 
-  /** Forecasts a request at all targets that it has not tried yet. */
+  /**
+   * Forecasts a request at all targets that it has not tried yet and that this
+   * VM may send to.
+   */
   forecasts(delivery: Delivery, nowMs: InstantMs): readonly TargetForecast[] {
-    const {board, statistics} = this.options;
-    return board.forecasts(
+    const {board, grants, statistics} = this.options;
+    const forecasts = board.forecasts(
       {
         service: delivery.service,
         workMs: statistics.of(delivery.rule).work.workMs,
@@ -60,6 +65,13 @@
       },
       nowMs,
     );
+    return forecasts.filter(({targetId}) => grants.mayBeSent(targetId, nowMs));
+  }
+
+  /** Returns whether there is a target that the request has not tried. */
+  hasUntried({service, triedTargetIds}: Delivery): boolean {
+    const targets = this.options.board.eligibleTargets(service);
+    return targets.some(({targetId}) => !triedTargetIds.includes(targetId));
   }
 
   /**
--- a/src/entry/composition_root.ts
+++ b/src/entry/composition_root.ts
@@ -10,7 +10,7 @@
 import {Clock, RandomSource, SeededRandom, SystemClock} from '../core/index.js';
 import {DeliveryEngine, type RoutedRequest} from '../delivery/index.js';
 import {FleetNode} from '../fleet/index.js';
-import {TargetLimits} from '../limits/index.js';
+import {RequestGrants, TargetLimits} from '../limits/index.js';
 import {LoadBoard} from '../load/index.js';
 import {ProbeTokenBucket} from '../probing/index.js';
 import {DatagramLink, PublishedServer} from '../peer_datagram/index.js';
@@ -22,6 +22,7 @@
 import {EntryDaemon} from './entry_daemon.js';
 import {EntryMetrics} from './entry_metrics.js';
 import {EventLogger} from './event_logger.js';
+import {LimitSharing} from './limit_sharing.js';
 import {LoadSharing} from './load_sharing.js';
 import {PublishedReader} from './published_reader.js';
 import type {EntrySettings} from './settings.js';
@@ -76,12 +77,14 @@
         board: get(LoadBoard),
         quarantine: get(CrashQuarantine),
         limits: get(TargetLimits),
+        grants: get(RequestGrants),
         engine: get(DeliveryEngine),
         runner: get(DeliveryRunner),
         callers: get<CallerServer<RoutedRequest>>(CallerServer),
         targets: get(TargetClient),
         prober: get(TargetProber),
         sharing: get(LoadSharing),
+        limitSharing: get(LimitSharing),
         reader: get(PublishedReader),
         link: get(DatagramLink),
         published: get(PublishedServer),
@@ -105,6 +108,9 @@
     .bind(LoadBoard)
     .toDynamicValue(() => new LoadBoard({failureDomain, vmKey: settings.host}));
   container.bind(TargetLimits).toDynamicValue(() => new TargetLimits());
+  container
+    .bind(RequestGrants)
+    .toDynamicValue(({get}) => new RequestGrants(get(TargetLimits)));
   container.bind(CrashQuarantine).toDynamicValue(
     () =>
       new FingerprintQuarantine({
@@ -134,6 +140,7 @@
       random: get(RandomSource),
       resendLimit: settings.resendLimit,
       targetLimits: get(TargetLimits),
+      grants: get(RequestGrants),
       fleetSize: nowMs => fleet.fleetSize(nowMs),
       takeProbes: (count, nowMs) => {
         const targetCount = get(PublishedState).targets.size;
@@ -218,6 +225,18 @@
         linkMbitPerSecond,
       }),
   );
+  container.bind(LimitSharing).toDynamicValue(({get}) => {
+    const sharing = get(LoadSharing);
+    return new LimitSharing({
+      host,
+      failureDomain,
+      fleet: get(FleetNode),
+      board: get(LoadBoard),
+      limits: get(TargetLimits),
+      grants: get(RequestGrants),
+      isActingHead: nowMs => sharing.isActingHead(nowMs),
+    });
+  });
   container.bind(PublishedReader).toDynamicValue(({get}) => {
     const state = get(PublishedState);
     const daemon = (): EntryDaemon => container.get(EntryDaemon);
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -12,7 +12,7 @@
   FleetNode,
   FleetRoles,
 } from '../fleet/index.js';
-import type {TargetLimits} from '../limits/index.js';
+import type {RequestGrants, TargetLimits} from '../limits/index.js';
 import type {LoadBoard} from '../load/index.js';
 import {
   fetchPublished,
@@ -33,6 +33,7 @@
 import type {DeliveryRunner} from './delivery_runner.js';
 import type {EntryMetrics} from './entry_metrics.js';
 import type {EventLogger} from './event_logger.js';
+import type {LimitSharing} from './limit_sharing.js';
 import type {LoadSharing} from './load_sharing.js';
 import type {PublishedReader, ReaderListener} from './published_reader.js';
 import type {EntrySettings} from './settings.js';
@@ -77,6 +78,12 @@
  */
 const STOP_MARGIN_MS = 500;
 
+/** Interval at which granted rates are logged and shown, in milliseconds. */
+const GRANTED_RATES_INTERVAL_MS = 5_000;
+
+/** Most limited targets in one log line. */
+const MAX_LISTED_RATES = 20;
+
 /** Interval at which a leaving VM checks for open requests, in milliseconds. */
 const STOP_CHECK_INTERVAL_MS = 50;
 
@@ -89,12 +96,14 @@
   readonly board: LoadBoard;
   readonly quarantine: CrashQuarantine;
   readonly limits: TargetLimits;
+  readonly grants: RequestGrants;
   readonly engine: DeliveryEngine;
   readonly runner: DeliveryRunner;
   readonly callers: CallerServer<RoutedRequest>;
   readonly targets: TargetClient;
   readonly prober: TargetProber;
   readonly sharing: LoadSharing;
+  readonly limitSharing: LimitSharing;
   readonly reader: PublishedReader;
   readonly link: DatagramLink;
   readonly published: PublishedServer;
@@ -116,6 +125,7 @@
   private readonly timers: NodeJS.Timeout[] = [];
   private lastRoles: FleetRoles | undefined;
   private lastLoggedRoles = '';
+  private nextGrantedRatesMs = 0;
 
   /** @param parts - components that are not started yet */
   constructor(private readonly parts: EntryParts) {}
@@ -197,12 +207,13 @@
 
   /** Handles a message of a peer. */
   onMessage(message: FleetMessage): void {
-    const {fleet, sharing, clock} = this.parts;
+    const {fleet, sharing, limitSharing, clock} = this.parts;
     const nowMs = clock.nowMs();
     const {update, dispatches} = fleet.onMessage(message, nowMs);
     this.sendAll(dispatches);
     this.sendAll(sharing.onMessage(message, nowMs));
-    if (message.type === 'load') {
+    limitSharing.onMessage(message, nowMs);
+    if (message.type === 'load' || message.type === 'limit-grants') {
       this.parts.runner.feed(inputMs =>
         this.parts.engine.onTargetsChanged(inputMs),
       );
@@ -292,6 +303,10 @@
     reader.setActive(fleet.shouldRead(nowMs));
     const work = sharing.onTick(state.targets, nowMs);
     this.sendAll(work.dispatches);
+    this.sendAll(this.parts.limitSharing.onTick(state.targets, nowMs));
+    this.parts.runner.feed(inputMs =>
+      this.parts.engine.onTargetsChanged(inputMs),
+    );
     work.probes.forEach(target => prober.probe(target));
     this.tickCount += 1;
     if (this.tickCount % CONNECTION_CHECK_TICKS === 0) {
@@ -327,6 +342,26 @@
         log.warn('limits', 'target no longer limited', {targetId});
       }
     }
+    if (nowMs >= this.nextGrantedRatesMs) {
+      this.reportGrantedRates(nowMs);
+    }
+  }
+
+  /** Shows what this VM may send to each limited target. */
+  private reportGrantedRates(nowMs: number): void {
+    const {grants, log, metrics} = this.parts;
+    this.nextGrantedRatesMs = nowMs + GRANTED_RATES_INTERVAL_MS;
+    const rates = new Map<string, number>();
+    for (const [targetId, count] of grants.takeGrantedCounts()) {
+      rates.set(targetId, (count * 1000) / GRANTED_RATES_INTERVAL_MS);
+    }
+    metrics.setGrantedRates(rates);
+    if (rates.size > 0) {
+      const listed = [...rates].slice(0, MAX_LISTED_RATES);
+      const perSecond = listed.map(([id, rate]) => `${id} ${rate}`).join(', ');
+      const fields = {targetCount: rates.size, perSecond};
+      log.warn('limits', 'granted', fields);
+    }
   }
 
   private logRoles(): void {
--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -53,6 +53,21 @@
     registers: [this.registry],
   });
 
+  private readonly grantedRates = new Gauge({
+    name: 'sycamorepitch_target_granted_per_second',
+    help: 'Requests per second that this VM may send to a limited target',
+    labelNames: ['target'],
+    registers: [this.registry],
+  });
+
+  /** Replaces the rates at which this VM may send to limited targets. */
+  setGrantedRates(ratesPerSecond: ReadonlyMap<string, number>): void {
+    this.grantedRates.reset();
+    for (const [target, perSecond] of ratesPerSecond) {
+      this.grantedRates.set({target}, perSecond);
+    }
+  }
+
   /** Sets the limit that a target names; 0 for none. */
   setTargetLimit(targetId: string, perSecond: number): void {
     if (perSecond > 0) {
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type {InstantMs} from '../core/index.js';
+import type {LimitDemand, ReporterPeak, RequestGrant} from '../limits/index.js';
 import type {PublishedDelta, Revision} from '../registry/index.js';
 
 /** Lifecycle state that a VM announces. */
@@ -115,8 +116,40 @@
   readonly clearedFingerprints: readonly string[];
 }
 
+/** Limit that a target names, as reported by a VM. */
+export interface ReportedLimit {
+  readonly targetId: string;
+  /** Requests per second of all VMs together; 0 if the limit has ended. */
+  readonly perSecond: number;
+  /** Time since the target said so. */
+  readonly ageMs: number;
+}
+
+/** Limits that a VM knows, and its demand for their targets. */
+export interface LimitReport {
+  readonly type: 'limit-report';
+  readonly sender: ReportedMember;
+  /** Greatest number of reporting VMs that a head of the domain has told. */
+  readonly reporterPeak: ReporterPeak;
+  readonly limits: readonly ReportedLimit[];
+  readonly demands: readonly LimitDemand[];
+}
+
+/** Requests that the receiver may send to limited targets. */
+export interface LimitGrants {
+  readonly type: 'limit-grants';
+  readonly sender: ReportedMember;
+  /** Greatest number of VMs that have lately reported to the sender. */
+  readonly reporterPeak: ReporterPeak;
+  /** Time for which the grants may be used. */
+  readonly validMs: number;
+  readonly limits: readonly ReportedLimit[];
+  readonly grants: readonly RequestGrant[];
+}
+
 /** Union of all messages between VMs. */
-export type FleetMessage = Heartbeat | Changes | LoadTable | OutcomeReport;
+export type FleetMessage =
+  Heartbeat | Changes | LoadTable | OutcomeReport | LimitReport | LimitGrants;
 
 /** A message with the hosts to send it to. */
 export interface Dispatch {
--- a/src/limits/index.ts
+++ b/src/limits/index.ts
@@ -6,7 +6,15 @@
 export {canFinish, chooseRejected, type AdmissionOptions} from './admission.js';
 export {connectionShare} from './connection_share.js';
 export {FleetShare, type ServiceLoad} from './fleet_share.js';
+export {
+  GRANT_VALIDITY_MS,
+  GrantDivider,
+  type LimitDemand,
+  type ReporterPeak,
+  type RequestGrant,
+} from './grant_divider.js';
 export {longLaneTargets} from './long_lane.js';
+export {RequestGrants} from './request_grants.js';
 export {
   RequestQueue,
   STARVATION_INTERVAL,
--- a/src/limits/target_limits.ts
+++ b/src/limits/target_limits.ts
@@ -15,11 +15,11 @@
 /** Limits above this one restrict nothing. */
 const MAX_LIMIT_PER_SECOND = 1_000_000;
 
-/** Least time for which a limit holds after it was last named. */
-const MIN_LIMIT_TTL_MS = 5_000;
-
-/** Requests at the rate of a limit after which it ends if not named again. */
-const TTL_REQUEST_COUNT = 3;
+/**
+ * Time for which a limit holds after it was last named. VMs tell each
+ * other of its end, so this is for targets that nobody hears of any more.
+ */
+const LIMIT_TTL_MS = 60_000;
 
 /** Time for which the end of a limit is remembered, against older news. */
 const ENDED_TTL_MS = 10_000;
@@ -99,7 +99,11 @@
    * @param limit - limit, with the instant by this VM's clock
    */
   merge(limit: KnownLimit): void {
-    const {targetId, perSecond, observedMs} = limit;
+    const {targetId, observedMs} = limit;
+    const perSecond =
+      limit.perSecond === 0 || limit.perSecond > MAX_LIMIT_PER_SECOND
+        ? 0
+        : Math.max(MIN_LIMIT_PER_SECOND, limit.perSecond);
     const known = this.limits.get(targetId);
     if (known === undefined && perSecond === 0) {
       return;
@@ -107,7 +111,7 @@
     if (known !== undefined && known.observedMs >= observedMs) {
       return;
     }
-    this.limits.set(targetId, limit);
+    this.limits.set(targetId, {targetId, perSecond, observedMs});
     if ((known?.perSecond ?? 0) !== perSecond) {
       this.changes.push({targetId, perSecond});
     }
@@ -140,7 +144,7 @@
       const ageMs = nowMs - observedMs;
       if (perSecond === 0 && ageMs > ENDED_TTL_MS) {
         this.limits.delete(targetId);
-      } else if (perSecond > 0 && ageMs > ttlMs(perSecond)) {
+      } else if (perSecond > 0 && ageMs > LIMIT_TTL_MS) {
         this.limits.set(targetId, {targetId, perSecond: 0, observedMs: nowMs});
         this.changes.push({targetId, perSecond: 0});
       }
@@ -150,7 +154,3 @@
     return changes;
   }
 }
-
-function ttlMs(perSecond: number): number {
-  return Math.max(MIN_LIMIT_TTL_MS, (TTL_REQUEST_COUNT * 1000) / perSecond);
-}
--- a/src/load/load_board.ts
+++ b/src/load/load_board.ts
@@ -52,6 +52,7 @@
 export class LoadBoard {
   private readonly records = new Map<string, TargetRecord>();
   private byService = new Map<string, ServiceTargets>();
+  private usedTargetIds: ReadonlySet<string> = new Set();
   private readonly meanLoadShares = new Map<string, number>();
   private readonly speeds = new SpeedStatistics();
   private meanSpeed = 1 / INITIAL_MEAN_SLOWNESS;
@@ -106,6 +107,11 @@
     return this.targetsOf(service).records.map(({target}) => target);
   }
 
+  /** Returns whether this VM may send requests to a target. */
+  isUsed(targetId: string): boolean {
+    return this.usedTargetIds.has(targetId);
+  }
+
   /**
    * Sums the load of a service, extrapolated from the targets that this VM uses.
    *
@@ -275,6 +281,7 @@
       }
     }
     this.byService = new Map();
+    const usedTargetIds = new Set<string>();
     for (const [service, all] of eligible) {
       const candidates = all.map(record => ({
         record,
@@ -284,7 +291,9 @@
       const records = selectSubset(candidates).map(({record}) => record);
       const slotRatio = slotCountOf(all) / Math.max(1, slotCountOf(records));
       this.byService.set(service, {records, slotRatio});
+      records.forEach(({target}) => usedTargetIds.add(target.targetId));
     }
+    this.usedTargetIds = usedTargetIds;
   }
 
   private observeLoad(
--- a/src/peer_datagram/fleet_codec.ts
+++ b/src/peer_datagram/fleet_codec.ts
@@ -11,10 +11,12 @@
   KnownPosition,
   MemberState,
   OutcomeCount,
+  ReportedLimit,
   ReportedMember,
   TargetLoadReport,
 } from '../fleet/index.js';
 import {packDelta, unpackDelta} from './published_codec.js';
+import type {LimitDemand, ReporterPeak} from '../limits/index.js';
 import {IMPLICATION_TTL_MS} from '../recovery/index.js';
 import {WireError, WireReader} from './wire_reader.js';
 
@@ -94,6 +96,19 @@
         message.implications.map(packImplication),
         message.clearedFingerprints,
       ];
+    case 'limit-report':
+      return [
+        packPeak(message.reporterPeak),
+        message.limits.map(packLimit),
+        message.demands.map(packDemand),
+      ];
+    case 'limit-grants':
+      return [
+        packPeak(message.reporterPeak),
+        message.validMs,
+        message.limits.map(packLimit),
+        message.grants.map(({targetId, count}) => [targetId, count]),
+      ];
   }
 }
 
@@ -132,6 +147,26 @@
         implications: reader.array(unpackImplication),
         clearedFingerprints: reader.optionalStrings(),
       };
+    case 'limit-report':
+      return {
+        type,
+        sender,
+        reporterPeak: unpackPeak(reader.nested()),
+        limits: reader.array(unpackLimit),
+        demands: reader.array(unpackDemand),
+      };
+    case 'limit-grants':
+      return {
+        type,
+        sender,
+        reporterPeak: unpackPeak(reader.nested()),
+        validMs: reader.count(),
+        limits: reader.array(unpackLimit),
+        grants: reader.array(each => ({
+          targetId: each.string(),
+          count: each.count(),
+        })),
+      };
     default:
       throw new WireError(`unknown message type ${type}`);
   }
@@ -229,3 +264,36 @@
     remainingMs: reader.optionalCount(IMPLICATION_TTL_MS),
   };
 }
+
+function packLimit({targetId, perSecond, ageMs}: ReportedLimit): unknown {
+  return [targetId, perSecond, ageMs];
+}
+
+function unpackLimit(reader: WireReader): ReportedLimit {
+  return {
+    targetId: reader.string(),
+    perSecond: reader.count(),
+    ageMs: reader.count(),
+  };
+}
+
+function packPeak({count, ageMs}: ReporterPeak): unknown {
+  return [count, Math.round(ageMs)];
+}
+
+function unpackPeak(reader: WireReader): ReporterPeak {
+  return {count: reader.count(), ageMs: reader.count()};
+}
+
+function packDemand(demand: LimitDemand): unknown {
+  const {targetId, lapsedCount} = demand;
+  return [targetId, Math.round(demand.demand * RATIO_SCALE), lapsedCount];
+}
+
+function unpackDemand(reader: WireReader): LimitDemand {
+  return {
+    targetId: reader.string(),
+    demand: reader.count() / RATIO_SCALE,
+    lapsedCount: reader.count(),
+  };
+}
--- a/src/peer_datagram/fleet_codec_test.ts
+++ b/src/peer_datagram/fleet_codec_test.ts
@@ -83,6 +83,11 @@
 
 const hundredths = fc.integer({min: 0, max: 900}).map(value => value / 100);
 
+const limits = fc.array(
+  fc.record({targetId: text, perSecond: count, ageMs: count}),
+  {maxLength: 4},
+);
+
 const message: fc.Arbitrary<FleetMessage> = fc.oneof(
   fc.record({
     type: fc.constant('heartbeat' as const),
@@ -133,6 +138,24 @@
     ),
     clearedFingerprints: fc.array(text, {maxLength: 4}),
   }),
+  fc.record({
+    type: fc.constant('limit-report' as const),
+    sender: member,
+    reporterPeak: fc.record({count, ageMs: count}),
+    limits,
+    demands: fc.array(
+      fc.record({targetId: text, demand: hundredths, lapsedCount: count}),
+      {maxLength: 4},
+    ),
+  }),
+  fc.record({
+    type: fc.constant('limit-grants' as const),
+    sender: member,
+    reporterPeak: fc.record({count, ageMs: count}),
+    validMs: count,
+    limits,
+    grants: fc.array(fc.record({targetId: text, count}), {maxLength: 4}),
+  }),
 );
 
 test('encoding and decoding preserves a message', () => {
