Look at waiting requests between messages only while a limit is known

Without a limit no grant can arrive between messages, so the entry daemon dispatches waiting requests as before the limits.

--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -303,10 +303,7 @@
     reader.setActive(fleet.shouldRead(nowMs));
     const work = sharing.onTick(state.targets, nowMs);
     this.sendAll(work.dispatches);
-    this.sendAll(this.parts.limitSharing.onTick(state.targets, nowMs));
-    this.parts.runner.feed(inputMs =>
-      this.parts.engine.onTargetsChanged(inputMs),
-    );
+    this.shareLimits(nowMs);
     work.probes.forEach(target => prober.probe(target));
     this.tickCount += 1;
     if (this.tickCount % CONNECTION_CHECK_TICKS === 0) {
@@ -332,6 +329,15 @@
     });
   }
 
+  private shareLimits(nowMs: number): void {
+    const {limits, limitSharing, state, runner, engine} = this.parts;
+    this.sendAll(limitSharing.onTick(state.targets, nowMs));
+    if (limits.list().length > 0) {
+      // A head hands out grants to itself without a message.
+      runner.feed(inputMs => engine.onTargetsChanged(inputMs));
+    }
+  }
+
   private logLimits(nowMs: number): void {
     const {limits, log, metrics} = this.parts;
     for (const {targetId, perSecond} of limits.onTick(nowMs)) {
--- a/src/limits/grant_divider.ts
+++ b/src/limits/grant_divider.ts
@@ -36,6 +36,9 @@
 /** Bound of the lead or debt of a VM, in requests. */
 const MAX_CREDIT = 2;
 
+/** Greatest number of lapsed grants that is believed of a peer. */
+const MAX_LAPSED = 1_000;
+
 /** Greatest number of reporters that is believed of a peer. */
 const MAX_REPORTERS = 100_000;
 
@@ -113,7 +116,7 @@
       demands.set(targetId, demand);
       const account = this.accounts.get(targetId);
       if (account !== undefined) {
-        account.lapsed = Math.min(account.lapsed + lapsedCount, MAX_REPORTERS);
+        account.lapsed = Math.min(account.lapsed + lapsedCount, MAX_LAPSED);
       }
     }
     this.reports.set(host, {demands, reportedMs: nowMs});
@@ -153,12 +156,16 @@
       const elapsedMs = Math.max(0, nowMs - account.updatedMs);
       const cap = 1 + (rate * MAX_SAVED_MS) / 1000;
       const earned = (rate * elapsedMs) / 1000;
-      const saved = account.available + earned + repeat(account, earned);
+      const saved = account.available + earned + takeRepeated(account, earned);
       const available = Math.min(saved, cap);
       const count = Math.floor(available);
       account.updatedMs = nowMs;
       account.available = available - count;
-      for (const [host, granted] of this.share(targetId, count, account)) {
+      for (const [host, granted] of this.divideByDemand(
+        targetId,
+        count,
+        account,
+      )) {
         const list = grants.get(host) ?? [];
         list.push({targetId, count: granted});
         grants.set(host, list);
@@ -168,7 +175,7 @@
   }
 
   /** Divides requests by demand; what a VM is short of, it gets next time. */
-  private share(
+  private divideByDemand(
     targetId: string,
     count: number,
     {credits}: TargetAccount,
@@ -249,7 +256,7 @@
 }
 
 /** Takes lapsed grants that may be handed out again from an account. */
-function repeat(account: TargetAccount, earned: number): number {
+function takeRepeated(account: TargetAccount, earned: number): number {
   const repeatable = account.repeatable + earned * MAX_REPEATED_SHARE;
   account.repeatable = Math.min(1, repeatable);
   const count = Math.min(account.repeatable, account.lapsed);
