--- a/src/entry/composition_root.ts
+++ b/src/entry/composition_root.ts
@@ -234,7 +234,7 @@
       board: get(LoadBoard),
       limits: get(TargetLimits),
       grants: get(RequestGrants),
-      isActingHead: nowMs => sharing.isActingHead(nowMs),
+      actsAsHead: nowMs => sharing.actsAsHead(nowMs),
     });
   });
   container.bind(PublishedReader).toDynamicValue(({get}) => {
--- a/src/entry/limit_sharing.ts
+++ b/src/entry/limit_sharing.ts
@@ -32,10 +32,10 @@
 const GRANT_INTERVAL_MS = 250;
 
 /** Shortest interval at which a head repeats all limits. Changes go at once. */
-const MIN_NEWS_INTERVAL_MS = 1_000;
+const ANNOUNCEMENT_INTERVAL_MS = 1_000;
 
 /** Most bytes per second that a head sends to repeat limits. */
-const MAX_NEWS_BYTES_PER_SECOND = 12_000;
+const MAX_ANNOUNCEMENT_BYTES_PER_SECOND = 12_000;
 
 /** Encoded size of one limit, in bytes. */
 const LIMIT_BYTES = 25;
@@ -58,7 +58,7 @@
   readonly limits: TargetLimits;
   readonly grants: RequestGrants;
   /** Returns whether this VM acts as head of its failure domain. */
-  readonly isActingHead: (nowMs: InstantMs) => boolean;
+  readonly actsAsHead: (nowMs: InstantMs) => boolean;
 }
 
 /**
@@ -70,12 +70,12 @@
   private readonly divider = new GrantDivider();
   private nextReportMs: InstantMs = 0;
   private nextGrantMs: InstantMs = 0;
-  private nextNewsMs: InstantMs = 0;
+  private nextAnnouncementMs: InstantMs = 0;
   private reportedCount = 0;
   /** Greatest number of reporters that a head has told, by failure domain. */
-  private readonly reporterPeaks = new Map<string, HeardPeak>();
-  /** Limits of which this head has told its domain, by target. */
-  private readonly toldLimits = new Map<string, number>();
+  private readonly reporterPeaks = new Map<string, TimedPeak>();
+  /** Limits that this head has announced since the last repetition, by target. */
+  private readonly announcedLimits = new Map<string, number>();
 
   /** @param options - identity, fleet, limits and grants of this VM */
   constructor(private readonly options: LimitSharingOptions) {}
@@ -91,7 +91,7 @@
     targets: ReadonlyMap<string, KnownTarget>,
     nowMs: InstantMs,
   ): readonly Dispatch[] {
-    const {limits, grants, isActingHead} = this.options;
+    const {limits, grants, actsAsHead} = this.options;
     grants.onTick(nowMs);
     const known = limits.list().filter(each => targets.has(each.targetId));
     const dispatches: Dispatch[] = [];
@@ -101,12 +101,12 @@
       this.addReports(dispatches, {known, targets}, nowMs);
     }
     this.reportedCount = known.length;
-    if (known.length > 0 && isActingHead(nowMs)) {
+    if (known.length > 0 && actsAsHead(nowMs)) {
       if (nowMs >= this.nextGrantMs) {
         this.nextGrantMs = nowMs + GRANT_INTERVAL_MS;
         this.addGrants(dispatches, {known, targets}, nowMs);
       }
-      this.addNews(dispatches, known, nowMs);
+      this.addAnnouncements(dispatches, known, nowMs);
     }
     return dispatches;
   }
@@ -167,8 +167,8 @@
           demands.push(grants.takeDemand(target, nowMs));
         }
       }
-      const heard = this.reporterPeaks.get(domain) ?? NO_PEAK;
-      const reporterPeak = {count: heard.count, ageMs: nowMs - heard.seenMs};
+      const peak = this.reporterPeaks.get(domain) ?? NO_PEAK;
+      const reporterPeak = {count: peak.count, ageMs: nowMs - peak.seenMs};
       const hosts = this.headsOf(domain);
       if (hosts.includes(host)) {
         this.divider.onReport(host, {demands, reporterPeak}, nowMs);
@@ -224,8 +224,8 @@
     }
   }
 
-  /** Tells the members of the domain and the other heads of all limits. */
-  private addNews(
+  /** Announces limits to the members of the domain and the other heads. */
+  private addAnnouncements(
     dispatches: Dispatch[],
     known: readonly KnownLimit[],
     nowMs: InstantMs,
@@ -238,21 +238,22 @@
     if (hosts.length === 0) {
       return;
     }
-    const isRefresh = nowMs >= this.nextNewsMs;
-    const news = known.filter(
+    const isRefresh = nowMs >= this.nextAnnouncementMs;
+    const announced = known.filter(
       ({targetId, perSecond}) =>
-        isRefresh || this.toldLimits.get(targetId) !== perSecond,
+        isRefresh || this.announcedLimits.get(targetId) !== perSecond,
     );
     if (isRefresh) {
-      this.toldLimits.clear();
+      this.announcedLimits.clear();
       const bytes = known.length * LIMIT_BYTES * hosts.length;
-      const budgetMs = (bytes * 1000) / MAX_NEWS_BYTES_PER_SECOND;
-      this.nextNewsMs = nowMs + Math.max(MIN_NEWS_INTERVAL_MS, budgetMs);
+      const budgetMs = (bytes * 1000) / MAX_ANNOUNCEMENT_BYTES_PER_SECOND;
+      this.nextAnnouncementMs =
+        nowMs + Math.max(ANNOUNCEMENT_INTERVAL_MS, budgetMs);
     }
-    for (const {targetId, perSecond} of news) {
-      this.toldLimits.set(targetId, perSecond);
+    for (const {targetId, perSecond} of announced) {
+      this.announcedLimits.set(targetId, perSecond);
     }
-    for (const part of partsOf(news)) {
+    for (const part of partsOf(announced)) {
       dispatches.push({hosts, message: this.createGrants([], part, nowMs)});
     }
   }
@@ -302,12 +303,12 @@
 }
 
 /** Number of reporters at an instant of this VM's clock. */
-interface HeardPeak {
+interface TimedPeak {
   readonly count: number;
   readonly seenMs: InstantMs;
 }
 
-const NO_PEAK: HeardPeak = {count: 0, seenMs: 0};
+const NO_PEAK: TimedPeak = {count: 0, seenMs: 0};
 
 /** Limits of registered targets. */
 interface KnownLimits {
--- a/src/entry/load_sharing.ts
+++ b/src/entry/load_sharing.ts
@@ -135,7 +135,7 @@
     this.updateQuarantineDigest(nowMs);
     this.addOutcomeReports(dispatches, nowMs);
     this.addImplicationReport(dispatches, nowMs);
-    if (!this.isActingHead(nowMs)) {
+    if (!this.actsAsHead(nowMs)) {
       return {dispatches, probes: []};
     }
     this.addDueTables(dispatches, nowMs);
@@ -286,7 +286,7 @@
    * Reports whether this VM is the acting head, or the standby of one whose
    * load tables have stopped.
    */
-  isActingHead(nowMs: InstantMs): boolean {
+  actsAsHead(nowMs: InstantMs): boolean {
     const {fleet} = this.options;
     return (
       fleet.isActingHead ||
@@ -479,7 +479,7 @@
     }
   }
 
-  /** Records a piece of news and returns whether it had been recorded before. */
+  /** Records a key and returns whether it had been recorded before. */
   private checkAndMarkSeen(key: string): boolean {
     if (this.seenImplications.has(key)) {
       return true;
--- a/src/entry/peer_message_fuzz_test.ts
+++ b/src/entry/peer_message_fuzz_test.ts
@@ -163,7 +163,7 @@
     board,
     limits,
     grants,
-    isActingHead: () => true,
+    actsAsHead: () => true,
   });
   sharing.onMessage(message, 1_000);
   limitSharing.onMessage(message, 1_000);
--- a/src/limits/grant_divider.ts
+++ b/src/limits/grant_divider.ts
@@ -42,7 +42,7 @@
 /** Greatest number of reporters that is believed of a peer. */
 const MAX_REPORTERS = 100_000;
 
-/** Wish of a VM to send requests to a limited target. */
+/** Demand of a VM for a limited target. */
 export interface LimitDemand {
   readonly targetId: string;
   /** Requests per second that the VM could send to it, as a weight. */
@@ -174,7 +174,7 @@
     return grants;
   }
 
-  /** Divides requests by demand; what a VM is short of, it gets next time. */
+  /** Divides requests by demand; a remainder counts for the next time. */
   private divideByDemand(
     targetId: string,
     count: number,
