--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -389,9 +389,13 @@
   }
 
   private applySnapshot(snapshot: PublishedSnapshot, source: string): void {
-    const {state, clock} = this.parts;
+    const {state, clock, log} = this.parts;
     if (state.offerSnapshot(snapshot, clock.nowMs()) === 'advanced') {
       this.onStateChanged(source);
+    } else if (snapshot.revision < state.revision) {
+      const {revision} = snapshot;
+      const fields = {revision, knownRevision: state.revision, source};
+      log.warn('published', 'snapshot is older', fields);
     }
   }
 
--- a/src/http_get/http_get.ts
+++ b/src/http_get/http_get.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import {request, type Agent} from 'node:http';
+import {request, type Agent, type IncomingHttpHeaders} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 
 /**
@@ -15,6 +15,7 @@
 /** Complete response. */
 export interface HttpGetResponse {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
 }
 
@@ -86,8 +87,8 @@
       });
       response.on('end', () => {
         clearTimeout(timer);
-        const status = response.statusCode ?? 0;
-        resolve(ok({status, body: Buffer.concat(chunks)}));
+        const {statusCode: status = 0, headers} = response;
+        resolve(ok({status, headers, body: Buffer.concat(chunks)}));
       });
     });
     clientRequest.end();
