--- a/src/cli/deploy_test.ts
+++ b/src/cli/deploy_test.ts
@@ -25,7 +25,10 @@
     'system.toml',
   ]);
   // Days that the users' benchmark plays.
-  assert.deepEqual(readdirSync(`${DEPLOY}/days`), ['capped.toml']);
+  assert.deepEqual(readdirSync(`${DEPLOY}/days`).sort(), [
+    'capped.toml',
+    'restored.toml',
+  ]);
   for (const name of SIZES.keys()) {
     assert.deepEqual(readdirSync(`${DEPLOY}/${name}`).sort(), [
       'operators.jsonc',
--- a/src/entry/composition_root.ts
+++ b/src/entry/composition_root.ts
@@ -244,7 +244,8 @@
       source: options.source,
       clock: get(Clock),
       random: get(RandomSource),
-      revision: () => state.revision,
+      position: () => state.position,
+      isAssigned: () => get(FleetNode).isReader,
       listener: {
         onSnapshot: snapshot => daemon().onSnapshot(snapshot),
         onDelta: delta => daemon().onDelta(delta),
@@ -257,8 +258,10 @@
   container.bind(PublishedServer).toDynamicValue(({get}) => {
     const fleet = get(FleetNode);
     const clock = get(Clock);
-    return new PublishedServer(get(PublishedState), () =>
-      fleet.position(clock.nowMs()),
+    return new PublishedServer(
+      get(PublishedState),
+      () => fleet.position(clock.nowMs()),
+      clock,
     );
   });
   container.bind(DatagramLink).toDynamicValue(({get}) => {
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -24,8 +24,8 @@
   PublishedDelta,
   PublishedSnapshot,
   PublishedState,
-  Revision,
   SourceError,
+  StorePosition,
 } from '../registry/index.js';
 import {RouteTable} from '../routes/index.js';
 import type {TargetClient} from '../target_http/index.js';
@@ -153,6 +153,9 @@
       targetConnections: () => targets.connectionCount,
       fleetSize: () => fleet.fleetSize(clock.nowMs()),
       revision: () => state.revision,
+      storeEra: () => state.era,
+      routesVersion: () => state.routes?.version ?? 0,
+      heldTargetCounts: () => state.heldTargetCounts,
       storeCalls: () => reader.callCount,
       quarantinedRequests: () => quarantine.quarantinedCount(clock.nowMs()),
       confirmationAgeMs: () =>
@@ -222,6 +225,8 @@
       this.startFetch(message.sender.host);
     } else if (update.isSenderAhead) {
       this.startFetch(message.sender.host);
+    } else if (update.isSenderDifferent) {
+      this.startReconciliation(message.sender.host);
     }
   }
 
@@ -297,6 +302,7 @@
     const {clock, fleet, reader, state, sharing, prober, targets} = this.parts;
     const nowMs = clock.nowMs();
     this.checkPause(nowMs);
+    this.expireTargets(nowMs);
     this.sendAll(fleet.onTick(nowMs));
     this.logRoles();
     this.logLimits(nowMs);
@@ -311,6 +317,15 @@
     }
   }
 
+  /** Drops targets that a restored store still lacks after a while. */
+  private expireTargets(nowMs: number): void {
+    const {state} = this.parts;
+    state.expire(nowMs);
+    if (state.hasChanged) {
+      this.onStateChanged('expiry');
+    }
+  }
+
   /**
    * Discards confirmations after a pause or suspension, as they may be stale.
    */
@@ -388,34 +403,69 @@
     }
   }
 
-  private applySnapshot(snapshot: PublishedSnapshot, source: string): void {
-    const {state, clock, log} = this.parts;
-    if (state.offerSnapshot(snapshot, clock.nowMs()) === 'advanced') {
-      this.onStateChanged(source);
-    } else if (snapshot.revision < state.revision) {
-      const {revision} = snapshot;
-      const fields = {revision, knownRevision: state.revision, source};
-      log.warn('published', 'snapshot is older', fields);
+  /** Applies a snapshot; returns true if it changed the state. */
+  private applySnapshot(
+    snapshot: PublishedSnapshot,
+    source: 'store' | 'peer',
+  ): boolean {
+    const {state, clock, fleet} = this.parts;
+    const nowMs = clock.nowMs();
+    const before = state.position;
+    const result = state.offerSnapshot(snapshot, nowMs);
+    if (result !== 'advanced' && result !== 'merged') {
+      return false;
+    }
+    if (state.era > before.era && before.revision > 0) {
+      this.logRestored(before, source);
     }
+    this.onStateChanged(source);
+    const delta = state.changesAfter(before);
+    if (delta !== undefined && state.era > before.era) {
+      const isFromStore = source === 'store';
+      this.sendAll(fleet.forwardChanges(delta, {isFromStore, nowMs}));
+    }
+    return true;
   }
 
   /** Applies a delta; returns false if changes before it are missing. */
   private applyDelta(delta: PublishedDelta, isFromStore: boolean): boolean {
     const {state, clock, fleet} = this.parts;
     const nowMs = clock.nowMs();
+    const before = state.position;
     const result = state.offerDelta(delta, nowMs);
-    if (result === 'advanced') {
+    if (state.era > before.era) {
+      this.logRestored(before, 'peer');
+    }
+    if (result === 'advanced' || result === 'merged') {
       this.onStateChanged(isFromStore ? 'store' : 'peer');
-      if (delta.changes.length > 0) {
-        this.sendAll(fleet.forwardChanges(delta, {isFromStore, nowMs}));
-      }
+    }
+    const isForwarded =
+      delta.changes.length > 0 || delta.afterEra !== delta.era;
+    if (result === 'advanced' && isForwarded) {
+      this.sendAll(fleet.forwardChanges(delta, {isFromStore, nowMs}));
     }
     return result !== 'gap';
   }
 
+  private logRestored(before: StorePosition, source: 'store' | 'peer'): void {
+    const {state, log} = this.parts;
+    const {missing, draining, departed} = state.heldTargetCounts;
+    log.warn('store', 'restored from an older copy', {
+      previousEra: before.era,
+      previousRevision: before.revision,
+      era: state.era,
+      revision: state.revision,
+      source,
+      routesVersion: state.routes?.version ?? 0,
+      missingTargets: missing,
+      heldDrains: draining,
+      heldDepartures: departed,
+    });
+  }
+
   private onStateChanged(source: string): void {
     const {state, fleet, board, runner, engine, log} = this.parts;
-    fleet.setRevision(state.revision);
+    fleet.setPosition(state.position, state.digest);
     const {routesChanged, changedTargetIds} = state.takeChange();
     if (changedTargetIds.length > 0) {
       board.syncTargets(state.targets);
@@ -427,6 +477,7 @@
     }
     if (routesChanged || changedTargetIds.length > 0) {
       log.info('published', 'adopted', {
+        era: state.era,
         revision: state.revision,
         source,
         routesVersion: state.routes?.version ?? 0,
@@ -453,12 +504,28 @@
       return;
     }
     this.isFetching = true;
-    void this.fetchFromPeer(host, this.parts.state.revision).finally(() => {
+    void this.fetchFromPeer(host, this.parts.state.position).finally(() => {
       this.isFetching = false;
     });
   }
 
-  private async fetchFromPeer(host: string, after: Revision): Promise<void> {
+  /** Fetches what a peer of the same position knows beyond the store. */
+  private startReconciliation(host: string): void {
+    if (this.isFetching) {
+      return;
+    }
+    this.isFetching = true;
+    void this.fetchFromPeer(host, undefined).then(isChanged => {
+      this.isFetching = false;
+      this.parts.fleet.onReconciled(isChanged);
+    });
+  }
+
+  /** Fetches the state of a peer; returns true if it changed this VM's. */
+  private async fetchFromPeer(
+    host: string,
+    after: StorePosition | undefined,
+  ): Promise<boolean> {
     const {settings, fleet, clock, log} = this.parts;
     const sentMs = clock.nowMs();
     const fetched = await fetchPublished({
@@ -470,16 +537,16 @@
     if (fetched.isErr()) {
       const {type, reason} = fetched.error;
       log.warn('published', 'fetch from peer failed', {host, type, reason});
-      return;
+      return false;
     }
     const {snapshot, delta, position} = fetched.value;
-    if (snapshot !== undefined) {
-      this.applySnapshot(snapshot, 'peer');
-    }
+    const isChanged =
+      snapshot !== undefined && this.applySnapshot(snapshot, 'peer');
     if (delta !== undefined) {
       this.applyDelta(delta, false);
     }
     fleet.recordPeerConfirmation(position, sentMs);
+    return isChanged;
   }
 
   private sendAll(dispatches: readonly Dispatch[]): void {
--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {HeldTargetCounts} from '../registry/index.js';
 
 /** Bucket bounds of the answer time histogram, in seconds. */
 const ANSWER_BUCKETS_S = [0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4];
@@ -14,6 +15,9 @@
   readonly targetConnections: () => number;
   readonly fleetSize: () => number;
   readonly revision: () => number;
+  readonly storeEra: () => number;
+  readonly routesVersion: () => number;
+  readonly heldTargetCounts: () => HeldTargetCounts;
   readonly confirmationAgeMs: () => number;
   readonly storeCalls: () => number;
   readonly quarantinedRequests: () => number;
@@ -107,6 +111,13 @@
     );
     this.gauge('fleet_size', 'VMs in the fleet', sources.fleetSize);
     this.gauge('revision', 'Position in the store', sources.revision);
+    this.gauge('store_era', 'Era of the store', sources.storeEra);
+    this.gauge(
+      'routes_version',
+      'Version of the routes in force',
+      sources.routesVersion,
+    );
+    this.registerHeldTargets(sources.heldTargetCounts);
     this.gauge('store_calls', 'Calls of the store', sources.storeCalls);
     this.gauge(
       'quarantined_requests',
@@ -120,6 +131,21 @@
     );
   }
 
+  private registerHeldTargets(readCounts: () => HeldTargetCounts): void {
+    new Gauge({
+      name: 'sycamorepitch_held_targets',
+      help: 'Targets whose state differs from what the restored store lists',
+      labelNames: ['reason'],
+      registers: [this.registry],
+      collect() {
+        const {missing, draining, departed} = readCounts();
+        this.set({reason: 'missing'}, missing);
+        this.set({reason: 'draining'}, draining);
+        this.set({reason: 'departed'}, departed);
+      },
+    });
+  }
+
   /** Renders all metrics in the Prometheus text format. */
   render(): Promise<string> {
     return this.registry.metrics();
--- a/src/entry/load_sharing_test.ts
+++ b/src/entry/load_sharing_test.ts
@@ -52,7 +52,7 @@
   receiveHeartbeats(...others: readonly TestVm[]): void {
     for (const {fleet} of others) {
       const sender = fleet.reportSelf();
-      const position = {revision: 0, ageMs: 0};
+      const position = {era: 0, revision: 0, ageMs: 0, digest: ''};
       const sizes = {domainSize: 3, fleetSize: 3, quarantineDigest: 0};
       const message = {
         type: 'heartbeat' as const,
--- a/src/entry/peer_message_fuzz_test.ts
+++ b/src/entry/peer_message_fuzz_test.ts
@@ -26,7 +26,7 @@
   ageMs: 0,
 } as const;
 
-const POSITION = {revision: 3, ageMs: 40};
+const POSITION = {era: 1, revision: 3, ageMs: 40, digest: 'd'};
 
 const MESSAGES: readonly FleetMessage[] = [
   {
@@ -43,11 +43,14 @@
     sender: SENDER,
     position: POSITION,
     delta: {
+      afterEra: 1,
       afterRevision: 2,
+      era: 1,
       revision: 3,
       changes: [
         {type: 'target', revision: 3, target: registeredTarget('x')},
         {type: 'target-removed', revision: 3, targetId: 'y'},
+        {type: 'target-missing', revision: 3, targetId: 'z'},
       ],
     },
   },
--- a/src/entry/published_reader.ts
+++ b/src/entry/published_reader.ts
@@ -5,12 +5,13 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Clock, InstantMs, RandomSource} from '../core/index.js';
-import type {
-  PublishedDelta,
-  PublishedSnapshot,
-  PublishedSource,
-  Revision,
-  SourceError,
+import {
+  comparePositions,
+  type PublishedDelta,
+  type PublishedSnapshot,
+  type PublishedSource,
+  type SourceError,
+  type StorePosition,
 } from '../registry/index.js';
 
 /** Long-poll time in milliseconds; each wait is one call of the store. */
@@ -45,6 +46,13 @@
 /** Longest delay after failed calls, in milliseconds, before jitter. */
 const MAX_RETRY_DELAY_MS = 1_600;
 
+/**
+ * Mean delay in milliseconds of a full read by a VM that is not an assigned
+ * reader. Peers tell it the state in the meantime, which saves the read when
+ * all VMs read by themselves.
+ */
+const UNASSIGNED_READ_DELAY_MS = 600;
+
 /**
  * Time in milliseconds for which the store may report a newer revision than a
  * pending wait has delivered.
@@ -68,8 +76,10 @@
   readonly source: PublishedSource;
   readonly clock: Clock;
   readonly random: RandomSource;
-  /** Returns the revision that this VM has; 0 before the first snapshot. */
-  readonly revision: () => Revision;
+  /** Returns the position of this VM; revision 0 before the first snapshot. */
+  readonly position: () => StorePosition;
+  /** Reports whether the fleet has assigned the role of a reader to this VM. */
+  readonly isAssigned: () => boolean;
   readonly listener: ReaderListener;
 }
 
@@ -81,7 +91,9 @@
   private isActive = false;
   private isFailing = false;
   private failureCount = 0;
-  private needsSnapshot = false;
+  /** Position whose history the store no longer has. */
+  private lostPosition: StorePosition | undefined;
+  private hasWatchedSinceSnapshot = true;
   private generation = 0;
   private callsMade = 0;
   private storeAheadSinceMs: InstantMs | undefined;
@@ -128,8 +140,7 @@
 
   private async readLoop(generation: number): Promise<void> {
     while (this.isCurrent(generation)) {
-      const needsSnapshot = this.needsSnapshot || this.options.revision() === 0;
-      const hasSucceeded = needsSnapshot
+      const hasSucceeded = (await this.shouldReadSnapshot())
         ? await this.readSnapshot()
         : await this.waitForChanges();
       if (this.isCurrent(generation) && !hasSucceeded) {
@@ -138,8 +149,25 @@
     }
   }
 
+  /**
+   * Decides between a full read and a wait. After a loss of history a VM that
+   * is not an assigned reader first gives its peers time.
+   */
+  private async shouldReadSnapshot(): Promise<boolean> {
+    const {position, isAssigned, random} = this.options;
+    if (this.lostPosition === undefined) {
+      return position().revision === 0;
+    }
+    if (!isAssigned()) {
+      await sleep(UNASSIGNED_READ_DELAY_MS * (0.5 + random.nextFloat()));
+    }
+    const isSame = comparePositions(position(), this.lostPosition) === 0;
+    this.lostPosition = isSame ? this.lostPosition : undefined;
+    return isSame;
+  }
+
   private async readSnapshot(): Promise<boolean> {
-    const {source, clock, listener} = this.options;
+    const {source, clock, listener, position} = this.options;
     const sentMs = clock.nowMs();
     this.callsMade += 2;
     const read = await source.readAll(READ_ALL_TIMEOUT_MS);
@@ -147,7 +175,13 @@
       this.onError(read.error);
       return false;
     }
-    this.needsSnapshot = false;
+    const {era} = read.value;
+    if (era < position().era) {
+      this.onError({type: 'outdated', reason: `snapshot of era ${era}`});
+      return false;
+    }
+    this.lostPosition = undefined;
+    this.hasWatchedSinceSnapshot = false;
     this.onSuccess();
     listener.onSnapshot(read.value);
     listener.onConfirmed(sentMs);
@@ -155,38 +189,58 @@
   }
 
   private async waitForChanges(): Promise<boolean> {
-    const {source, clock, listener, revision} = this.options;
+    const {source, clock, listener, position} = this.options;
     const sentMs = clock.nowMs();
+    const after = position();
     this.callsMade += 1;
     this.isWaiting = true;
     const result = await source.waitForChanges(
-      revision(),
+      after,
       WAIT_TIME_MS,
       WAIT_TIME_MS + WAIT_GRACE_MS,
     );
     this.isWaiting = false;
     this.storeAheadSinceMs = undefined;
     if (result.isErr()) {
-      this.needsSnapshot = result.error.type === 'history-lost';
-      if (!this.needsSnapshot) {
-        this.onError(result.error);
-      }
-      return this.needsSnapshot;
+      return this.onWaitFailed(result.error, after);
     }
+    this.hasWatchedSinceSnapshot = true;
     this.onSuccess();
     listener.onDelta(result.value);
-    listener.onConfirmed(Math.max(sentMs, clock.nowMs() - this.roundTripMs));
+    if (position().era === result.value.era) {
+      listener.onConfirmed(Math.max(sentMs, clock.nowMs() - this.roundTripMs));
+    }
     if (result.value.changes.length > 0) {
       await sleep(COALESCE_DELAY_MS);
     }
     return true;
   }
 
+  /**
+   * Handles a failed wait.
+   *
+   * @returns true if a full read may follow at once; a full read that did not
+   *     lead to a position with history counts as a failure
+   */
+  private onWaitFailed(error: SourceError, after: StorePosition): boolean {
+    if (error.type === 'history-lost') {
+      this.lostPosition = after;
+    }
+    if (this.lostPosition === undefined) {
+      this.onError(error);
+      return false;
+    }
+    if (!this.hasWatchedSinceSnapshot) {
+      this.onError(error);
+    }
+    return this.hasWatchedSinceSnapshot;
+  }
+
   private async checkLoop(generation: number): Promise<void> {
     let failedCount = 0;
     await sleep(CHECK_INTERVAL_MS * this.options.random.nextFloat());
     while (this.isCurrent(generation)) {
-      if (this.options.revision() > 0 && this.isWaiting) {
+      if (this.options.position().revision > 0 && this.isWaiting) {
         failedCount = (await this.check()) ? 0 : failedCount + 1;
         if (failedCount > MAX_FAILED_CHECKS && this.isCurrent(generation)) {
           // The connection of the pending wait may be lost as well.
@@ -198,7 +252,7 @@
   }
 
   private async check(): Promise<boolean> {
-    const {source, clock, listener, revision} = this.options;
+    const {source, clock, listener, position} = this.options;
     const sentMs = clock.nowMs();
     this.callsMade += 1;
     const result = await source.check(CHECK_TIMEOUT_MS);
@@ -208,11 +262,16 @@
     }
     const nowMs = clock.nowMs();
     this.roundTripMs = nowMs - sentMs;
-    if (result.value > revision()) {
+    const known = position();
+    if (result.value.era > known.era) {
+      // The pending wait follows a revision of the previous era.
+      this.lostPosition = known;
+      source.close();
+    } else if (comparePositions(result.value, known) > 0) {
       this.onStoreAhead(nowMs);
     } else {
       this.storeAheadSinceMs = undefined;
-      if (this.isWaiting) {
+      if (this.isWaiting && result.value.era === known.era) {
         this.setFailing(false, undefined);
         listener.onConfirmed(sentMs);
       }
@@ -221,7 +280,7 @@
   }
 
   /**
-   * Closes the connections if the store has reported a newer revision than the
+   * Closes the connections if the store has reported a newer position than the
    * pending wait has delivered for too long.
    */
   private onStoreAhead(nowMs: InstantMs): void {
--- a/src/entry/published_reader_test.ts
+++ b/src/entry/published_reader_test.ts
@@ -7,7 +7,9 @@
   type PublishedDelta,
   type PublishedSnapshot,
   type SourceError,
+  type StorePosition,
 } from '../registry/index.js';
+import {publishedDelta, publishedSnapshot} from '../registry/target_fixture.js';
 import {PublishedReader} from './published_reader.js';
 
 /** Time in milliseconds within which an expected state must be reached. */
@@ -32,12 +34,12 @@
   override async readAll(): Promise<Answer<PublishedSnapshot>> {
     this.readAllCount += 1;
     this.hasHistory = true;
-    return this.isDown
-      ? err(DOWN)
-      : ok({revision: this.revision, routes: undefined, targets: []});
+    return this.isDown ? err(DOWN) : ok(publishedSnapshot(this.revision));
   }
 
-  override waitForChanges(after: number): Promise<Answer<PublishedDelta>> {
+  override waitForChanges({
+    revision: after,
+  }: StorePosition): Promise<Answer<PublishedDelta>> {
     this.waitCount += 1;
     return new Promise(resolve => {
       const timer = setInterval(() => {
@@ -47,7 +49,7 @@
           finish(err({type: 'history-lost', reason: 'compacted'}));
         } else if (!this.isStalled && this.revision > after) {
           const {revision} = this;
-          finish(ok({afterRevision: after, revision, changes: []}));
+          finish(ok(publishedDelta(revision, {afterRevision: after})));
         }
       }, 5);
       const finish = (answer: Answer<PublishedDelta>): void => {
@@ -60,8 +62,9 @@
     });
   }
 
-  override async check(): Promise<Answer<number>> {
-    return this.isDown ? err(DOWN) : ok(this.revision);
+  override async check(): Promise<Answer<StorePosition>> {
+    const {revision} = this;
+    return this.isDown ? err(DOWN) : ok({era: 1, revision});
   }
 
   override close(): void {
@@ -91,7 +94,8 @@
     source,
     clock: new SystemClock(),
     random: new SeededRandom({seed: 2}),
-    revision: () => revision,
+    position: () => ({era: revision === 0 ? 0 : 1, revision}),
+    isAssigned: () => true,
     listener: {
       onSnapshot: snapshot => (revision = snapshot.revision),
       onDelta: delta => (revision = delta.revision),
--- a/src/fleet/fleet_node.ts
+++ b/src/fleet/fleet_node.ts
@@ -5,7 +5,11 @@
  * @packageDocumentation
  */
 import type {InstantMs, RandomSource} from '../core/index.js';
-import type {PublishedDelta, Revision} from '../registry/index.js';
+import {
+  comparePositions,
+  type PublishedDelta,
+  type StorePosition,
+} from '../registry/index.js';
 import {assignRoles, type FleetRoles} from './fleet_roles.js';
 import {FleetSizeEstimator} from './fleet_size.js';
 import {MemberDirectory} from './member_directory.js';
@@ -63,6 +67,13 @@
  */
 const JOIN_GRACE_MS = 400;
 
+/**
+ * Shortest and longest time between two fetches from peers of the same position
+ * that know something else; doubles while they bring nothing new.
+ */
+const MIN_RECONCILE_INTERVAL_MS = 250;
+const MAX_RECONCILE_INTERVAL_MS = 16_000;
+
 /** Assumed transit time of a datagram. */
 const ASSUMED_TRANSIT_MS = 1;
 
@@ -77,8 +88,13 @@
 export interface ReceivedUpdate {
   /** Changes to offer to the published state. */
   readonly delta: PublishedDelta | undefined;
-  /** True if the sender has a newer revision, so changes should be fetched. */
+  /** True if the sender has a newer position, so changes should be fetched. */
   readonly isSenderAhead: boolean;
+  /**
+   * True if the sender knows something else at the same position, so its
+   * complete state should be fetched.
+   */
+  readonly isSenderDifferent: boolean;
 }
 
 /**
@@ -96,7 +112,10 @@
   private isSeed = true;
   private state: MemberState = 'starting';
   private readFailing = false;
-  private revision: Revision = 0;
+  private ownPosition: StorePosition = {era: 0, revision: 0};
+  private digest = '';
+  private nextReconcileMs: InstantMs = -Infinity;
+  private reconcileIntervalMs = MIN_RECONCILE_INTERVAL_MS;
   private quarantineDigest = 0;
   private confirmedMs: InstantMs = -Infinity;
   private peerConfirmedMs: InstantMs = -Infinity;
@@ -175,9 +194,33 @@
     this.readFailing = isFailing;
   }
 
-  /** Sets the revision of this VM's published state. */
-  setRevision(revision: Revision): void {
-    this.revision = revision;
+  /**
+   * Sets position and digest of this VM's published state. A new era is told to
+   * peers without waiting for the next heartbeat.
+   *
+   * @param position - position of the state
+   * @param digest - digest of routes and targets in force
+   */
+  setPosition(position: StorePosition, digest: string): void {
+    const {era, revision} = this.ownPosition;
+    if (revision > 0 && position.era > era) {
+      this.nextMemberHeartbeatMs = 0;
+      this.nextHeadHeartbeatMs = 0;
+      this.nextCrossHeartbeatMs = 0;
+    }
+    this.ownPosition = {era: position.era, revision: position.revision};
+    this.digest = digest;
+  }
+
+  /**
+   * Records the result of a fetch from a peer that knew something else.
+   *
+   * @param isChanged - true if the fetch changed this VM's state
+   */
+  onReconciled(isChanged: boolean): void {
+    this.reconcileIntervalMs = isChanged
+      ? MIN_RECONCILE_INTERVAL_MS
+      : Math.min(2 * this.reconcileIntervalMs, MAX_RECONCILE_INTERVAL_MS);
   }
 
   /** Sets the digest of the requests that this VM quarantines. */
@@ -219,7 +262,7 @@
   shouldRead(nowMs: InstantMs): boolean {
     const isJoining =
       !this.isSeed &&
-      this.revision === 0 &&
+      this.ownPosition.revision === 0 &&
       nowMs - this.options.startMs < JOIN_GRACE_MS;
     const inputs = {
       isReader: this.isReader && !isJoining,
@@ -324,26 +367,36 @@
     );
     let delta: PublishedDelta | undefined;
     let isSenderAhead = false;
+    let isSenderDifferent = false;
     if (message.type === 'heartbeat') {
       this.onHeartbeat(message, dispatches, nowMs);
-      isSenderAhead = message.position.revision > this.revision;
+      const order = comparePositions(message.position, this.ownPosition);
+      isSenderAhead = order > 0;
+      isSenderDifferent =
+        order === 0 && this.shouldReconcile(message.position, nowMs);
     } else if (message.type === 'changes') {
       ({delta} = message);
     }
     if (message.type === 'heartbeat' || message.type === 'changes') {
       this.recordPeerConfirmation(message.position, nowMs);
     }
-    return {update: {delta, isSenderAhead}, dispatches};
+    return {update: {delta, isSenderAhead, isSenderDifferent}, dispatches};
   }
 
   /**
-   * Records a confirmation by a peer, if this VM has reached its position.
+   * Records a confirmation by a peer, if this VM has reached its position. A
+   * confirmation of another era says nothing about the present one.
    *
    * @param position - position of a peer
    * @param nowMs - current instant in milliseconds
    */
   recordPeerConfirmation(position: KnownPosition, nowMs: InstantMs): void {
-    if (this.revision === 0 || position.revision > this.revision) {
+    const {era, revision} = this.ownPosition;
+    if (
+      revision === 0 ||
+      position.era !== era ||
+      position.revision > revision
+    ) {
       return;
     }
     const confirmedMs = nowMs - position.ageMs - ASSUMED_TRANSIT_MS;
@@ -354,7 +407,8 @@
   /** Returns the position of this VM as sent to other VMs. */
   position(nowMs: InstantMs): KnownPosition {
     const ageMs = Math.min(nowMs - this.confirmedMs, Number.MAX_SAFE_INTEGER);
-    return {revision: this.revision, ageMs: Math.round(ageMs)};
+    const {digest} = this;
+    return {...this.ownPosition, ageMs: Math.round(ageMs), digest};
   }
 
   /** Returns the member record of this VM as sent to other VMs. */
@@ -368,6 +422,16 @@
     };
   }
 
+  private shouldReconcile(position: KnownPosition, nowMs: InstantMs): boolean {
+    const {revision} = this.ownPosition;
+    const isEqual = position.digest === this.digest || position.digest === '';
+    if (revision === 0 || isEqual || nowMs < this.nextReconcileMs) {
+      return false;
+    }
+    this.nextReconcileMs = nowMs + this.reconcileIntervalMs;
+    return true;
+  }
+
   private onHeartbeat(
     heartbeat: Heartbeat,
     dispatches: Dispatch[],
--- a/src/fleet/fleet_node_test.ts
+++ b/src/fleet/fleet_node_test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {SeededRandom} from '../core/index.js';
 import {PublishedState, type PublishedDelta} from '../registry/index.js';
+import {publishedDelta, publishedSnapshot} from '../registry/target_fixture.js';
 import {FleetNode, STALE_AFTER_MS, type Dispatch} from './index.js';
 
 const TICK_MS = 50;
@@ -68,7 +69,9 @@
     this.storeRevision += 1;
     const {storeRevision: revision} = this;
     const change = {type: 'target-removed', revision, targetId: 'x'} as const;
-    this.deltas.push({afterRevision, revision, changes: [change]});
+    this.deltas.push(
+      publishedDelta(revision, {afterRevision, changes: [change]}),
+    );
     return revision;
   }
 
@@ -125,7 +128,7 @@
       this.offer(vm, update.delta, false);
     }
     if (update.isSenderAhead) {
-      vm.state.offerSnapshot(sender.state.snapshot(), this.nowMs);
+      vm.state.offerSnapshot(sender.state.snapshot(this.nowMs), this.nowMs);
       this.recordAdoption(vm);
     }
   }
@@ -139,7 +142,7 @@
   }
 
   private recordAdoption(vm: Vm): void {
-    vm.node.setRevision(vm.state.revision);
+    vm.node.setPosition(vm.state.position, vm.state.digest);
     vm.node.setState('ready');
     if (!vm.adoptedMs.has(vm.state.revision)) {
       vm.adoptedMs.set(vm.state.revision, this.nowMs);
@@ -154,10 +157,7 @@
     if (vm.state.revision === 0) {
       this.readCount += 1;
       const {storeRevision: revision} = this;
-      vm.state.offerSnapshot(
-        {revision, routes: undefined, targets: []},
-        this.nowMs,
-      );
+      vm.state.offerSnapshot(publishedSnapshot(revision), this.nowMs);
       this.recordAdoption(vm);
     }
     for (const delta of this.deltas) {
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -5,7 +5,7 @@
  */
 import type {InstantMs} from '../core/index.js';
 import type {LimitDemand, ReporterPeak, RequestGrant} from '../limits/index.js';
-import type {PublishedDelta, Revision} from '../registry/index.js';
+import type {PublishedDelta, StorePosition} from '../registry/index.js';
 
 /** Lifecycle state that a VM announces. */
 export type MemberState = 'starting' | 'ready' | 'leaving';
@@ -39,10 +39,11 @@
 }
 
 /** Position of a VM in the published history, with its confirmation age. */
-export interface KnownPosition {
-  readonly revision: Revision;
+export interface KnownPosition extends StorePosition {
   /** Time since the store confirmed that no newer revision exists. */
   readonly ageMs: number;
+  /** Digest of routes and targets in force; empty if unknown. */
+  readonly digest: string;
 }
 
 /** Periodic sign of life with the sender's view of the fleet. */
--- a/src/peer_datagram/fleet_codec.ts
+++ b/src/peer_datagram/fleet_codec.ts
@@ -8,14 +8,18 @@
 import type {
   FleetMessage,
   Implication,
-  KnownPosition,
   MemberState,
   OutcomeCount,
   ReportedLimit,
   ReportedMember,
   TargetLoadReport,
 } from '../fleet/index.js';
-import {packDelta, unpackDelta} from './published_codec.js';
+import {
+  packDelta,
+  packPosition,
+  unpackDelta,
+  unpackPosition,
+} from './published_codec.js';
 import type {LimitDemand, ReporterPeak} from '../limits/index.js';
 import {IMPLICATION_TTL_MS} from '../recovery/index.js';
 import {WireError, WireReader} from './wire_reader.js';
@@ -206,14 +210,6 @@
   return state;
 }
 
-function packPosition({revision, ageMs}: KnownPosition): unknown {
-  return [revision, ageMs];
-}
-
-function unpackPosition(reader: WireReader): KnownPosition {
-  return {revision: reader.count(), ageMs: reader.count()};
-}
-
 function packLoadReport(report: TargetLoadReport): unknown {
   return [
     report.targetId,
--- a/src/peer_datagram/fleet_codec_test.ts
+++ b/src/peer_datagram/fleet_codec_test.ts
@@ -22,7 +22,12 @@
   ageMs: count,
 });
 
-const position = fc.record({revision: count, ageMs: count});
+const position = fc.record({
+  era: count,
+  revision: count,
+  ageMs: count,
+  digest: text,
+});
 
 const rule = fc.record({
   name: text,
@@ -72,10 +77,12 @@
       draining: fc.boolean(),
       warmupRemainingMs: count,
       startedMs: fc.integer({min: 0, max: Number.MAX_SAFE_INTEGER}),
+      sequence: count,
+      revision: count,
     }),
   }),
   fc.record({
-    type: fc.constant('target-removed' as const),
+    type: fc.constantFrom('target-removed' as const, 'target-missing' as const),
     revision: count,
     targetId: text,
   }),
@@ -103,7 +110,9 @@
     sender: member,
     position,
     delta: fc.record({
+      afterEra: count,
       afterRevision: count,
+      era: count,
       revision: count,
       changes: fc.array(change, {maxLength: 4}),
     }),
--- a/src/peer_datagram/published_codec.ts
+++ b/src/peer_datagram/published_codec.ts
@@ -3,11 +3,13 @@
  *
  * @packageDocumentation
  */
+import type {KnownPosition} from '../fleet/index.js';
 import type {
   PublishedChange,
   PublishedDelta,
   PublishedSnapshot,
   RegisteredTarget,
+  ReportedDeparture,
 } from '../registry/index.js';
 import type {
   RouteConfig,
@@ -21,6 +23,34 @@
 const ROUTES_TAG = 'routes';
 const TARGET_TAG = 'target';
 const REMOVED_TAG = 'removed';
+const MISSING_TAG = 'missing';
+
+/**
+ * Packs a position.
+ *
+ * @param position - position to send
+ * @returns value for the msgpack encoder
+ */
+export function packPosition(position: KnownPosition): unknown {
+  const {revision, ageMs, era, digest} = position;
+  return [revision, ageMs, era, digest];
+}
+
+/**
+ * Unpacks a position.
+ *
+ * @param reader - reader of the received fields
+ * @returns the position
+ * @throws WireError if a field is missing or malformed
+ */
+export function unpackPosition(reader: WireReader): KnownPosition {
+  return {
+    revision: reader.count(),
+    ageMs: reader.count(),
+    era: reader.optionalCount(0),
+    digest: reader.optionalString(''),
+  };
+}
 
 /**
  * Packs changes into nested arrays.
@@ -29,7 +59,13 @@
  * @returns value for the msgpack encoder
  */
 export function packDelta(delta: PublishedDelta): unknown {
-  return [delta.afterRevision, delta.revision, delta.changes.map(packChange)];
+  return [
+    delta.afterRevision,
+    delta.revision,
+    delta.changes.map(packChange),
+    delta.afterEra,
+    delta.era,
+  ];
 }
 
 /**
@@ -44,6 +80,8 @@
     afterRevision: reader.number(),
     revision: reader.number(),
     changes: reader.array(unpackChange),
+    afterEra: reader.optionalCount(0),
+    era: reader.optionalCount(0),
   };
 }
 
@@ -54,11 +92,14 @@
  * @returns value for the msgpack encoder
  */
 export function packSnapshot(snapshot: PublishedSnapshot): unknown {
-  const {revision, routes, targets} = snapshot;
+  const {revision, routes, targets, era, eraAgeMs, departures} = snapshot;
   return [
     revision,
     routes === undefined ? [] : [packRoutes(routes)],
     targets.map(packTarget),
+    era,
+    eraAgeMs,
+    departures.map(packDeparture),
   ];
 }
 
@@ -72,7 +113,14 @@
 export function unpackSnapshot(reader: WireReader): PublishedSnapshot {
   const revision = reader.number();
   const [routes] = reader.array(unpackRoutes);
-  return {revision, routes, targets: reader.array(unpackTarget)};
+  return {
+    revision,
+    routes,
+    targets: reader.array(unpackTarget),
+    era: reader.optionalCount(0),
+    eraAgeMs: reader.optionalCount(0),
+    departures: reader.optionalArray(unpackDeparture),
+  };
 }
 
 function packChange(change: PublishedChange): unknown {
@@ -83,6 +131,8 @@
       return [TARGET_TAG, change.revision, packTarget(change.target)];
     case 'target-removed':
       return [REMOVED_TAG, change.revision, change.targetId];
+    case 'target-missing':
+      return [MISSING_TAG, change.revision, change.targetId];
   }
 }
 
@@ -96,6 +146,8 @@
       return {type: 'target', revision, target: unpackTarget(reader.nested())};
     case REMOVED_TAG:
       return {type: 'target-removed', revision, targetId: reader.string()};
+    case MISSING_TAG:
+      return {type: 'target-missing', revision, targetId: reader.string()};
     default:
       throw new WireError(`unknown change type ${tag}`);
   }
@@ -112,6 +164,8 @@
     target.draining,
     target.warmupRemainingMs,
     target.startedMs,
+    target.sequence,
+    target.revision,
   ];
 }
 
@@ -126,6 +180,24 @@
     draining: reader.boolean(),
     warmupRemainingMs: reader.number(),
     startedMs: reader.number(),
+    sequence: reader.optionalCount(0),
+    revision: reader.optionalCount(0),
+  };
+}
+
+function packDeparture(departure: ReportedDeparture): unknown {
+  const {targetId, startedMs, sequence, revision, era, ageMs} = departure;
+  return [targetId, startedMs, sequence, revision, era, ageMs];
+}
+
+function unpackDeparture(reader: WireReader): ReportedDeparture {
+  return {
+    targetId: reader.string(),
+    startedMs: reader.number(),
+    sequence: reader.count(),
+    revision: reader.count(),
+    era: reader.count(),
+    ageMs: reader.count(),
   };
 }
 
--- a/src/peer_datagram/published_exchange.ts
+++ b/src/peer_datagram/published_exchange.ts
@@ -11,18 +11,21 @@
 } from 'node:http';
 import {decode, encode} from '@msgpack/msgpack';
 import {err, ok, type Result} from 'neverthrow';
+import type {Clock} from '../core/index.js';
 import type {KnownPosition} from '../fleet/index.js';
 import {httpGet} from '../http_get/index.js';
 import type {
   PublishedDelta,
   PublishedSnapshot,
   PublishedState,
-  Revision,
+  StorePosition,
 } from '../registry/index.js';
 import {
   packDelta,
+  packPosition,
   packSnapshot,
   unpackDelta,
+  unpackPosition,
   unpackSnapshot,
 } from './published_codec.js';
 import {WireReader} from './wire_reader.js';
@@ -30,8 +33,9 @@
 /** Path of the only resource. */
 const PATH = '/published';
 
-/** Query parameter for the revision that the client already has. */
+/** Query parameters for the position that the client already has. */
 const AFTER_PARAMETER = 'after';
+const ERA_PARAMETER = 'era';
 
 /**
  * State received from a peer: a delta if the peer retains the changes since the
@@ -56,10 +60,12 @@
   /**
    * @param state - state to serve
    * @param position - returns the position of this VM
+   * @param clock - clock of this VM
    */
   constructor(
     private readonly state: PublishedState,
     private readonly position: () => KnownPosition,
+    private readonly clock: Clock,
   ) {
     this.server = createServer((request, response) =>
       this.onRequest(request, response),
@@ -94,8 +100,10 @@
   private onRequest(request: IncomingMessage, response: ServerResponse): void {
     const [path, query] = (request.url ?? '').split('?');
     const parameters = new URLSearchParams(query);
-    const after = Number(parameters.get(AFTER_PARAMETER) ?? '0');
-    if (path !== PATH || !Number.isSafeInteger(after)) {
+    const revision = Number(parameters.get(AFTER_PARAMETER) ?? '0');
+    const era = Number(parameters.get(ERA_PARAMETER) ?? '0');
+    const isValid = Number.isSafeInteger(revision) && Number.isSafeInteger(era);
+    if (path !== PATH || !isValid) {
       response.writeHead(404).end();
       return;
     }
@@ -103,7 +111,7 @@
       response.writeHead(503).end();
       return;
     }
-    const body = this.encodeState(after);
+    const body = this.encodeState({era, revision});
     response.writeHead(200, {
       'content-type': 'application/msgpack',
       'content-length': String(body.length),
@@ -111,13 +119,15 @@
     response.end(body);
   }
 
-  private encodeState(after: Revision): Uint8Array {
-    const {revision, ageMs} = this.position();
-    const delta = after > 0 ? this.state.changesAfter(after) : undefined;
+  private encodeState(after: StorePosition): Uint8Array {
+    const {state} = this;
+    const delta = after.revision > 0 ? state.changesAfter(after) : undefined;
+    const snapshot =
+      delta === undefined ? state.snapshot(this.clock.nowMs()) : undefined;
     return encode([
-      [revision, ageMs],
+      packPosition(this.position()),
       delta === undefined ? [] : [packDelta(delta)],
-      delta === undefined ? [packSnapshot(this.state.snapshot())] : [],
+      snapshot === undefined ? [] : [packSnapshot(snapshot)],
     ]);
   }
 }
@@ -125,18 +135,20 @@
 /**
  * Fetches the published state of a peer.
  *
- * @param options - address of the peer, revision of this VM, and the timeout in
- *     milliseconds
+ * @param options - address of the peer, position of this VM (undefined for a
+ *     snapshot in any case), and the timeout in milliseconds
  * @returns the state, or an error with the reason
  */
 export async function fetchPublished(options: {
   readonly host: string;
   readonly port: number;
-  readonly after: Revision;
+  readonly after: StorePosition | undefined;
   readonly timeoutMs: number;
 }): Promise<Result<FetchedState, FetchError>> {
   const {host, port, after, timeoutMs} = options;
-  const path = `${PATH}?${AFTER_PARAMETER}=${after}`;
+  const {era, revision} = after ?? {era: 0, revision: 0};
+  const query = `${AFTER_PARAMETER}=${revision}&${ERA_PARAMETER}=${era}`;
+  const path = `${PATH}?${query}`;
   const response = await httpGet({host, port, path, timeoutMs});
   return response.isErr()
     ? err(response.error)
@@ -152,11 +164,10 @@
   }
   try {
     const reader = new WireReader(decode(body));
-    const position = reader.nested();
-    const [revision, ageMs] = [position.number(), position.number()];
+    const position = unpackPosition(reader.nested());
     const [delta] = reader.array(unpackDelta);
     const [snapshot] = reader.array(unpackSnapshot);
-    return ok({position: {revision, ageMs}, delta, snapshot});
+    return ok({position, delta, snapshot});
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
     return err({type: 'malformed', reason});
--- a/src/peer_datagram/wire_reader.ts
+++ b/src/peer_datagram/wire_reader.ts
@@ -61,6 +61,16 @@
     return this.hasNext() ? this.count() : absentValue;
   }
 
+  /** Reads a string that senders of an earlier release leave out. */
+  optionalString(absentValue: string): string {
+    return this.hasNext() ? this.string() : absentValue;
+  }
+
+  /** Reads nested arrays that senders of an earlier release leave out. */
+  optionalArray<T>(read: (reader: WireReader) => T): readonly T[] {
+    return this.hasNext() ? this.array(read) : [];
+  }
+
   /** Reads strings that senders of an earlier release leave out. */
   optionalStrings(): readonly string[] {
     return this.hasNext() ? this.nested().rest() : [];
--- a/src/registry/published_source.ts
+++ b/src/registry/published_source.ts
@@ -4,7 +4,11 @@
  * @packageDocumentation
  */
 import type {Result} from 'neverthrow';
-import type {PublishedDelta, PublishedSnapshot, Revision} from './types.js';
+import type {
+  PublishedDelta,
+  PublishedSnapshot,
+  StorePosition,
+} from './types.js';
 
 /** Failure of a read. */
 export interface SourceError {
@@ -15,8 +19,10 @@
     | 'unreachable'
     /** The store rejected the call. */
     | 'rejected'
-    /** The store no longer has the requested history. */
+    /** The store no longer has the requested history, or was restored. */
     | 'history-lost'
+    /** The response stems from an earlier era than the reader has. */
+    | 'outdated'
     /** The response could not be decoded. */
     | 'malformed';
   /** Short description for the log. */
@@ -44,18 +50,20 @@
    * @returns the changes, empty if the wait ended without any, or the failure
    */
   abstract waitForChanges(
-    after: Revision,
+    after: StorePosition,
     waitMs: number,
     timeoutMs: number,
   ): Promise<Result<PublishedDelta, SourceError>>;
 
   /**
-   * Checks at low cost that the store responds. The revision may be stale.
+   * Checks at low cost that the store responds. The position may be stale.
    *
    * @param timeoutMs - timeout of the check, in milliseconds
-   * @returns a recent revision of the store, or the failure
+   * @returns a recent position of the store, or the failure
    */
-  abstract check(timeoutMs: number): Promise<Result<Revision, SourceError>>;
+  abstract check(
+    timeoutMs: number,
+  ): Promise<Result<StorePosition, SourceError>>;
 
   /** Closes all connections; pending calls end with an error. */
   abstract close(): void;
--- a/src/registry/published_state.ts
+++ b/src/registry/published_state.ts
@@ -3,14 +3,22 @@
  *
  * @packageDocumentation
  */
-import type {InstantMs} from '../core/index.js';
+import {hashText, type InstantMs} from '../core/index.js';
 import type {RouteConfig} from '../routes/index.js';
+import {comparePositions} from './store_position.js';
+import {
+  MISSING_TARGET_TTL_MS,
+  TargetRegistry,
+  type HeldTargetCounts,
+  type KnownTarget,
+} from './target_registry.js';
 import type {
   PublishedChange,
   PublishedDelta,
   PublishedSnapshot,
-  RegisteredTarget,
   Revision,
+  StoreEra,
+  StorePosition,
 } from './types.js';
 
 /** Maximum changes kept for lagging peers; others receive a snapshot. */
@@ -18,19 +26,15 @@
 
 /** Result of offering a snapshot or a delta. */
 export type OfferResult =
-  /** The state advanced to a newer revision. */
+  /** The state advanced to a newer position. */
   | 'advanced'
+  /** An older offer contained something new that still holds. */
+  | 'merged'
   /** The offer contains nothing new. */
   | 'known'
   /** Changes before the offered ones are missing, so it was not applied. */
   | 'gap';
 
-/** A registered target with the end of its cold phase. */
-export interface KnownTarget extends RegisteredTarget {
-  /** Local instant until which the target counts as cold. */
-  readonly coldUntilMs: InstantMs;
-}
-
 /** Changes of the state since they were last taken. */
 export interface StateChange {
   readonly routesChanged: boolean;
@@ -38,9 +42,9 @@
 }
 
 /**
- * Replicates the published state in the order of revisions. The revision and
- * the version of the routes never decrease, whatever a stale read or a lagging
- * peer offers.
+ * Replicates the published state in the order of positions. The position and
+ * the version of the routes never decrease, whatever a stale read, a lagging
+ * peer or a restored store offers.
  *
  * @example
  * ```ts
@@ -50,18 +54,32 @@
  * ```
  */
 export class PublishedState {
+  private currentEra: StoreEra = 0;
   private currentRevision: Revision = 0;
+  private eraSinceMs: InstantMs = 0;
   private currentRoutes: RouteConfig | undefined;
-  private targetsById = new Map<string, KnownTarget>();
+  private readonly registry = new TargetRegistry();
   private readonly history: PublishedChange[] = [];
   private historyAfter: Revision = 0;
-  private pending: {routes: boolean; targetIds: Set<string>} = emptyChange();
+  /** Changes from the last position of the previous era to the current one. */
+  private transition: PublishedDelta | undefined;
+  private areRoutesChanged = false;
+
+  /** Era of the state; 0 before the first snapshot. */
+  get era(): StoreEra {
+    return this.currentEra;
+  }
 
   /** Revision of the state; 0 before the first snapshot. */
   get revision(): Revision {
     return this.currentRevision;
   }
 
+  /** Position of the state. */
+  get position(): StorePosition {
+    return {era: this.currentEra, revision: this.currentRevision};
+  }
+
   /** Routes of the greatest version received; undefined before the first. */
   get routes(): RouteConfig | undefined {
     return this.currentRoutes;
@@ -69,7 +87,12 @@
 
   /** Registered targets by id, draining ones included. */
   get targets(): ReadonlyMap<string, KnownTarget> {
-    return this.targetsById;
+    return this.registry.targets;
+  }
+
+  /** Numbers of targets whose state differs from what the store lists. */
+  get heldTargetCounts(): HeldTargetCounts {
+    return this.registry.heldCounts;
   }
 
   /** True once the state suffices to serve requests. */
@@ -77,49 +100,72 @@
     return this.currentRevision > 0 && this.currentRoutes !== undefined;
   }
 
+  /** Digest of routes and targets; equal on VMs that treat them alike. */
+  get digest(): string {
+    return hashText(
+      `${this.currentRoutes?.version ?? -1} ${this.registry.digest}`,
+    );
+  }
+
   /**
-   * Replaces the state with a snapshot if that is newer.
+   * Replaces the state with a snapshot if that is newer; else merges what
+   * still holds.
    *
-   * @param snapshot - complete state at one revision
+   * @param snapshot - complete state at one position
    * @param nowMs - current instant in milliseconds
-   * @returns `advanced` if the snapshot was applied, else `known`
+   * @returns `advanced` if the snapshot was applied, else `merged` or `known`
    */
   offerSnapshot(snapshot: PublishedSnapshot, nowMs: InstantMs): OfferResult {
-    if (snapshot.revision <= this.currentRevision) {
-      return 'known';
+    const {era, revision, routes, targets} = snapshot;
+    if (comparePositions(snapshot, this.position) <= 0) {
+      return this.mergeEarlier(snapshot, nowMs);
     }
-    const before = this.targetsById;
-    this.targetsById = new Map();
-    for (const target of snapshot.targets) {
-      this.putTarget(target, before.get(target.targetId), nowMs);
+    const before = this.position;
+    const isRestored = before.revision > 0 && era > before.era;
+    const previousTargets = new Map(isRestored ? this.targets : []);
+    const previousVersion = this.currentRoutes?.version;
+    if (era !== before.era || before.revision === 0) {
+      this.eraSinceMs = nowMs - snapshot.eraAgeMs;
     }
-    for (const targetId of before.keys()) {
-      if (!this.targetsById.has(targetId)) {
-        this.pending.targetIds.add(targetId);
-      }
+    for (const departure of snapshot.departures) {
+      this.registry.mergeDeparture(departure, nowMs);
     }
-    if (snapshot.routes !== undefined) {
-      this.putRoutes(snapshot.routes);
+    const missingDeadlineMs = isRestored ? this.missingDeadlineMs() : undefined;
+    this.registry.replace(targets, {era, missingDeadlineMs, nowMs});
+    if (routes !== undefined) {
+      this.putRoutes(routes);
     }
-    this.currentRevision = snapshot.revision;
+    this.currentEra = era;
+    this.currentRevision = revision;
     this.history.length = 0;
-    this.historyAfter = snapshot.revision;
+    this.historyAfter = revision;
+    this.transition = isRestored
+      ? this.describeTransition(before, previousTargets, previousVersion)
+      : undefined;
     return 'advanced';
   }
 
   /**
-   * Applies the changes that follow the current revision.
+   * Applies the changes that follow the current position.
    *
-   * @param delta - changes without a gap after `afterRevision`
+   * @param delta - changes without a gap after its earlier position
    * @param nowMs - current instant in milliseconds
-   * @returns `advanced` if the changes were applied, `known` if they contain
-   *     nothing new, `gap` if changes before them are missing
+   * @returns `advanced` if the changes were applied, `merged` if older ones
+   *     still hold, `known` if they contain nothing new, `gap` if changes
+   *     before them are missing
    */
   offerDelta(delta: PublishedDelta, nowMs: InstantMs): OfferResult {
-    if (delta.revision <= this.currentRevision) {
+    const {era, revision, afterEra, afterRevision} = delta;
+    if (era < this.currentEra) {
+      return this.mergeEarlierChanges(delta, nowMs);
+    }
+    if (comparePositions(delta, this.position) <= 0) {
       return 'known';
     }
-    if (delta.afterRevision > this.currentRevision) {
+    if (era > this.currentEra) {
+      return this.applyTransition(delta, nowMs);
+    }
+    if (afterEra !== era || afterRevision > this.currentRevision) {
       return 'gap';
     }
     for (const change of delta.changes) {
@@ -128,76 +174,209 @@
         this.history.push(change);
       }
     }
-    this.currentRevision = delta.revision;
+    this.currentRevision = revision;
     this.trimHistory();
     return 'advanced';
   }
 
   /**
-   * Lists the changes after a revision.
+   * Lists the changes after a position.
    *
-   * @param afterRevision - revision of the reader
+   * @param after - position of the reader
    * @returns the changes; undefined if some of them are no longer kept
    */
-  changesAfter(afterRevision: Revision): PublishedDelta | undefined {
-    if (afterRevision < this.historyAfter) {
-      return undefined;
+  changesAfter(after: StorePosition): PublishedDelta | undefined {
+    const {era, revision} = this.position;
+    const {transition} = this;
+    if (after.era === era && after.revision >= this.historyAfter) {
+      const changes = this.history.filter(
+        change => change.revision > after.revision,
+      );
+      const {era: afterEra, revision: afterRevision} = after;
+      return {afterEra, afterRevision, era, revision, changes};
     }
-    return {
-      afterRevision,
-      revision: this.currentRevision,
-      changes: this.history.filter(({revision}) => revision > afterRevision),
-    };
+    const isBeforeTransition =
+      transition?.afterEra === after.era &&
+      transition.afterRevision === after.revision &&
+      transition.revision === this.historyAfter;
+    return isBeforeTransition
+      ? {
+          ...transition,
+          revision,
+          changes: [...transition.changes, ...this.history],
+        }
+      : undefined;
   }
 
-  /** Returns a copy of the complete state. */
-  snapshot(): PublishedSnapshot {
+  /**
+   * Returns a copy of the complete state.
+   *
+   * @param nowMs - current instant in milliseconds
+   */
+  snapshot(nowMs: InstantMs): PublishedSnapshot {
     return {
-      revision: this.currentRevision,
+      ...this.position,
+      eraAgeMs: Math.max(0, Math.round(nowMs - this.eraSinceMs)),
       routes: this.currentRoutes,
-      targets: [...this.targetsById.values()],
+      targets: this.registry.listed(),
+      departures: this.registry.departures(nowMs),
     };
   }
 
+  /**
+   * Drops targets that a restored store has lacked for too long.
+   *
+   * @param nowMs - current instant in milliseconds
+   */
+  expire(nowMs: InstantMs): void {
+    this.registry.expire(nowMs);
+  }
+
+  /** True if the state has changed since `takeChange` was last called. */
+  get hasChanged(): boolean {
+    return this.areRoutesChanged || this.registry.hasChanged;
+  }
+
   /** Returns and clears the changes since the previous call. */
   takeChange(): StateChange {
-    const {routes, targetIds} = this.pending;
-    this.pending = emptyChange();
-    return {routesChanged: routes, changedTargetIds: [...targetIds]};
+    const routesChanged = this.areRoutesChanged;
+    this.areRoutesChanged = false;
+    return {
+      routesChanged,
+      changedTargetIds: [...this.registry.takeChangedIds()],
+    };
+  }
+
+  /**
+   * Applies the changes of another VM from the last position of the previous
+   * era on. They are complete for the same position only.
+   */
+  private applyTransition(
+    delta: PublishedDelta,
+    nowMs: InstantMs,
+  ): OfferResult {
+    const after = {era: delta.afterEra, revision: delta.afterRevision};
+    if (comparePositions(after, this.position) !== 0) {
+      return 'gap';
+    }
+    this.currentEra = delta.era;
+    this.eraSinceMs = nowMs;
+    for (const change of delta.changes) {
+      if (change.type === 'target') {
+        this.registry.merge(change.target, delta.era, nowMs);
+      } else if (change.type === 'target-removed') {
+        this.registry.remove(change.targetId, delta.afterEra, nowMs);
+      } else {
+        this.apply(change, nowMs);
+      }
+    }
+    this.currentRevision = delta.revision;
+    this.history.length = 0;
+    this.historyAfter = delta.revision;
+    this.transition = delta;
+    return 'advanced';
+  }
+
+  private mergeEarlier(
+    snapshot: PublishedSnapshot,
+    nowMs: InstantMs,
+  ): OfferResult {
+    const {targets, departures, routes} = snapshot;
+    const versionBefore = this.currentRoutes?.version;
+    const digestBefore = this.registry.digest;
+    const options = {era: this.currentEra, nowMs};
+    this.registry.mergeEarlier(targets, departures, options);
+    if (routes !== undefined) {
+      this.putRoutes(routes);
+    }
+    const isChanged =
+      this.currentRoutes?.version !== versionBefore ||
+      this.registry.digest !== digestBefore;
+    return isChanged ? 'merged' : 'known';
+  }
+
+  private mergeEarlierChanges(
+    {era, revision, changes}: PublishedDelta,
+    nowMs: InstantMs,
+  ): OfferResult {
+    const configs = changes.flatMap(change =>
+      change.type === 'routes' ? [change.config] : [],
+    );
+    const snapshot = {
+      era,
+      revision,
+      eraAgeMs: 0,
+      routes: configs.at(-1),
+      targets: changes.flatMap(change =>
+        change.type === 'target' ? [change.target] : [],
+      ),
+      departures: [],
+    };
+    return this.mergeEarlier(snapshot, nowMs);
   }
 
   private apply(change: PublishedChange, nowMs: InstantMs): void {
-    if (change.type === 'routes') {
-      this.putRoutes(change.config);
-    } else if (change.type === 'target') {
-      const {target} = change;
-      this.putTarget(target, this.targetsById.get(target.targetId), nowMs);
-    } else if (this.targetsById.delete(change.targetId)) {
-      this.pending.targetIds.add(change.targetId);
+    switch (change.type) {
+      case 'routes':
+        this.putRoutes(change.config);
+        return;
+      case 'target':
+        this.registry.put(change.target, this.currentEra, nowMs);
+        return;
+      case 'target-removed':
+        this.registry.remove(change.targetId, this.currentEra, nowMs);
+        return;
+      case 'target-missing':
+        this.registry.markMissing(change.targetId, this.missingDeadlineMs());
+        return;
     }
   }
 
+  private missingDeadlineMs(): InstantMs {
+    return this.eraSinceMs + MISSING_TARGET_TTL_MS;
+  }
+
+  /** Records what differs from the last position of the previous era. */
+  private describeTransition(
+    before: StorePosition,
+    targets: ReadonlyMap<string, KnownTarget>,
+    routesVersion: number | undefined,
+  ): PublishedDelta {
+    const {era, revision} = this.position;
+    const changes: PublishedChange[] = [];
+    if (
+      this.currentRoutes !== undefined &&
+      this.currentRoutes.version !== routesVersion
+    ) {
+      changes.push({type: 'routes', revision, config: this.currentRoutes});
+    }
+    for (const [targetId, target] of this.targets) {
+      if (targets.get(targetId) !== target) {
+        changes.push({type: 'target', revision, target});
+      }
+    }
+    for (const target of this.registry.suppressedEntries()) {
+      changes.push({type: 'target', revision, target});
+    }
+    for (const targetId of targets.keys()) {
+      if (!this.targets.has(targetId)) {
+        changes.push({type: 'target-removed', revision, targetId});
+      }
+    }
+    for (const targetId of this.registry.missingIds()) {
+      changes.push({type: 'target-missing', revision, targetId});
+    }
+    const {era: afterEra, revision: afterRevision} = before;
+    return {afterEra, afterRevision, era, revision, changes};
+  }
+
   private putRoutes(config: RouteConfig): void {
     if (config.version > (this.currentRoutes?.version ?? -1)) {
       this.currentRoutes = config;
-      this.pending.routes = true;
+      this.areRoutesChanged = true;
     }
   }
 
-  private putTarget(
-    target: RegisteredTarget,
-    previous: KnownTarget | undefined,
-    nowMs: InstantMs,
-  ): void {
-    const isSameStart =
-      previous !== undefined && previous.startedMs === target.startedMs;
-    const coldUntilMs = isSameStart
-      ? previous.coldUntilMs
-      : nowMs + target.warmupRemainingMs;
-    this.targetsById.set(target.targetId, {...target, coldUntilMs});
-    this.pending.targetIds.add(target.targetId);
-  }
-
   private trimHistory(): void {
     const excess = this.history.length - MAX_HISTORY_CHANGES;
     if (excess > 0) {
@@ -206,7 +385,3 @@
     }
   }
 }
-
-function emptyChange(): {routes: boolean; targetIds: Set<string>} {
-  return {routes: false, targetIds: new Set()};
-}
--- a/src/registry/published_state_test.ts
+++ b/src/registry/published_state_test.ts
@@ -7,7 +7,11 @@
   type PublishedChange,
   type RegisteredTarget,
 } from './index.js';
-import {registeredTarget} from './target_fixture.js';
+import {
+  publishedDelta,
+  publishedSnapshot,
+  registeredTarget,
+} from './target_fixture.js';
 
 function routes(version: number): RouteConfig {
   return {
@@ -39,12 +43,8 @@
       for (const each of offers) {
         const config = routes(each.version);
         if (each.isSnapshot) {
-          const snapshot = {
-            revision: each.revision,
-            routes: config,
-            targets: [],
-          };
-          state.offerSnapshot(snapshot, 0);
+          const {revision: at} = each;
+          state.offerSnapshot(publishedSnapshot(at, {routes: config}), 0);
         } else {
           const change = {
             type: 'routes',
@@ -52,11 +52,10 @@
             config,
           } as const;
           const {after: afterRevision} = each;
-          const delta = {
+          const delta = publishedDelta(each.revision, {
             afterRevision,
-            revision: each.revision,
             changes: [change],
-          };
+          });
           state.offerDelta(delta, 0);
         }
         assert.ok(state.revision >= revision);
@@ -93,22 +92,23 @@
     );
   fc.assert(
     fc.property(history, fc.nat(25), (changes, joinedAt) => {
-      const first = {revision: 1, routes: routes(1), targets: []};
+      const first = publishedSnapshot(1, {routes: routes(1)});
       const [reader, peer] = [new PublishedState(), new PublishedState()];
       reader.offerSnapshot(first, 0);
       peer.offerSnapshot(first, 0);
       changes.forEach((each, index) => {
         const {revision} = each;
-        const delta = {afterRevision: revision - 1, revision, changes: [each]};
+        const delta = publishedDelta(revision, {changes: [each]});
         reader.offerDelta(delta, 0);
         if (index < joinedAt) {
           peer.offerDelta(delta, 0);
         }
       });
-      const missing = reader.changesAfter(peer.revision);
+      const missing = reader.changesAfter(peer.position);
       assert.ok(missing !== undefined);
       peer.offerDelta(missing, 0);
-      assert.deepEqual(peer.snapshot(), reader.snapshot());
+      assert.equal(peer.digest, reader.digest);
+      assert.deepEqual(peer.targets, reader.targets);
     }),
     {seed: 22},
   );
@@ -117,11 +117,11 @@
 test('a delta with a gap is rejected, a reader far behind gets none', () => {
   // Guards against a state that silently lacks a change.
   const state = new PublishedState();
-  state.offerSnapshot({revision: 5, routes: routes(1), targets: []}, 0);
-  const delta = {afterRevision: 7, revision: 8, changes: []};
+  state.offerSnapshot(publishedSnapshot(5, {routes: routes(1)}), 0);
+  const delta = publishedDelta(8, {afterRevision: 7});
   assert.equal(state.offerDelta(delta, 0), 'gap');
   assert.equal(state.revision, 5);
-  assert.equal(state.changesAfter(4), undefined);
+  assert.equal(state.changesAfter({era: 1, revision: 4}), undefined);
 });
 
 test('a target that restarts under its id is cold again', () => {
@@ -133,10 +133,9 @@
     nowMs: number,
   ): void => {
     const change = {type: 'target' as const, revision, target: each};
-    const afterRevision = revision - 1;
-    state.offerDelta({afterRevision, revision, changes: [change]}, nowMs);
+    state.offerDelta(publishedDelta(revision, {changes: [change]}), nowMs);
   };
-  state.offerSnapshot({revision: 1, routes: routes(1), targets: []}, 0);
+  state.offerSnapshot(publishedSnapshot(1, {routes: routes(1)}), 0);
   put(2, registeredTarget('x', {warmupRemainingMs: 3000}), 100);
   put(3, registeredTarget('x', {warmupRemainingMs: 1500}), 1500);
   assert.equal(state.targets.get('x')?.coldUntilMs, 3100);
--- a/src/registry/target_fixture.ts
+++ b/src/registry/target_fixture.ts
@@ -1,9 +1,14 @@
 /**
- * Targets for tests and benchmarks.
+ * Targets, snapshots and deltas for tests and benchmarks.
  *
  * @packageDocumentation
  */
-import type {KnownTarget, RegisteredTarget} from './index.js';
+import type {
+  KnownTarget,
+  PublishedDelta,
+  PublishedSnapshot,
+  RegisteredTarget,
+} from './index.js';
 
 /**
  * Builds the registration of a target.
@@ -26,6 +31,8 @@
     draining: false,
     warmupRemainingMs: 0,
     startedMs: 1,
+    sequence: 1,
+    revision: 1,
     ...overrides,
   };
 }
@@ -47,3 +54,46 @@
     ...overrides,
   };
 }
+
+/**
+ * Builds a snapshot of the store.
+ *
+ * @param revision - revision of the snapshot
+ * @param overrides - fields that differ from the default
+ * @returns a snapshot of era 1 without routes and targets
+ */
+export function publishedSnapshot(
+  revision: number,
+  overrides: Partial<PublishedSnapshot> = {},
+): PublishedSnapshot {
+  return {
+    era: 1,
+    revision,
+    eraAgeMs: 0,
+    routes: undefined,
+    targets: [],
+    departures: [],
+    ...overrides,
+  };
+}
+
+/**
+ * Builds changes of the store.
+ *
+ * @param revision - revision after the changes
+ * @param overrides - fields that differ from the default
+ * @returns changes of era 1 after the preceding revision
+ */
+export function publishedDelta(
+  revision: number,
+  overrides: Partial<PublishedDelta> = {},
+): PublishedDelta {
+  return {
+    afterEra: 1,
+    afterRevision: revision - 1,
+    era: 1,
+    revision,
+    changes: [],
+    ...overrides,
+  };
+}
