--- a/src/cli/deploy_test.ts
+++ b/src/cli/deploy_test.ts
@@ -27,6 +27,8 @@
   // Days that the users' benchmark plays.
   assert.deepEqual(readdirSync(`${DEPLOY}/days`).sort(), [
     'capped.toml',
+    'restored-leaving.toml',
+    'restored-twice.toml',
     'restored.toml',
   ]);
   for (const name of SIZES.keys()) {
--- a/src/entry/composition_root.ts
+++ b/src/entry/composition_root.ts
@@ -9,7 +9,7 @@
 import {CallerServer, type CallerProtocol} from '../caller_http/index.js';
 import {Clock, RandomSource, SeededRandom, SystemClock} from '../core/index.js';
 import {DeliveryEngine, type RoutedRequest} from '../delivery/index.js';
-import {FleetNode} from '../fleet/index.js';
+import {FleetNode, PublishedReplica} from '../fleet/index.js';
 import {RequestGrants, TargetLimits} from '../limits/index.js';
 import {LoadBoard} from '../load/index.js';
 import {ProbeTokenBucket} from '../probing/index.js';
@@ -74,6 +74,7 @@
         clock: get(Clock),
         state: get(PublishedState),
         fleet: get(FleetNode),
+        replica: get(PublishedReplica),
         board: get(LoadBoard),
         quarantine: get(CrashQuarantine),
         limits: get(TargetLimits),
@@ -131,6 +132,11 @@
         startMs: get(Clock).nowMs(),
       }),
   );
+  container
+    .bind(PublishedReplica)
+    .toDynamicValue(
+      ({get}) => new PublishedReplica(get(PublishedState), get(FleetNode)),
+    );
   container.bind(DeliveryEngine).toDynamicValue(({get}) => {
     const fleet = get(FleetNode);
     const probes = new ProbeTokenBucket();
@@ -239,13 +245,17 @@
   });
   container.bind(PublishedReader).toDynamicValue(({get}) => {
     const state = get(PublishedState);
+    const fleet = get(FleetNode);
     const daemon = (): EntryDaemon => container.get(EntryDaemon);
     return new PublishedReader({
       source: options.source,
       clock: get(Clock),
       random: get(RandomSource),
       position: () => state.position,
-      isAssigned: () => get(FleetNode).isReader,
+      role: () => ({
+        isAssigned: fleet.isReader,
+        fleetSize: fleet.fleetSize(get(Clock).nowMs()),
+      }),
       listener: {
         onSnapshot: snapshot => daemon().onSnapshot(snapshot),
         onDelta: delta => daemon().onDelta(delta),
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -11,6 +11,9 @@
   FleetMessage,
   FleetNode,
   FleetRoles,
+  PublishedReplica,
+  ReplicaUpdate,
+  UpdateSource,
 } from '../fleet/index.js';
 import type {RequestGrants, TargetLimits} from '../limits/index.js';
 import type {LoadBoard} from '../load/index.js';
@@ -93,6 +96,7 @@
   readonly clock: Clock;
   readonly state: PublishedState;
   readonly fleet: FleetNode;
+  readonly replica: PublishedReplica;
   readonly board: LoadBoard;
   readonly quarantine: CrashQuarantine;
   readonly limits: TargetLimits;
@@ -186,7 +190,7 @@
   }
 
   onDelta(delta: PublishedDelta): void {
-    this.applyDelta(delta, true);
+    this.applyDelta(delta, 'store');
   }
 
   onConfirmed(confirmedMs: number): void {
@@ -221,7 +225,7 @@
         this.parts.engine.onTargetsChanged(inputMs),
       );
     }
-    if (update.delta !== undefined && !this.applyDelta(update.delta, false)) {
+    if (update.delta !== undefined && !this.applyDelta(update.delta, 'peer')) {
       this.startFetch(message.sender.host);
     } else if (update.isSenderAhead) {
       this.startFetch(message.sender.host);
@@ -319,9 +323,7 @@
 
   /** Drops targets that a restored store still lacks after a while. */
   private expireTargets(nowMs: number): void {
-    const {state} = this.parts;
-    state.expire(nowMs);
-    if (state.hasChanged) {
+    if (this.parts.replica.expire(nowMs)) {
       this.onStateChanged('expiry');
     }
   }
@@ -406,45 +408,30 @@
   /** Applies a snapshot; returns true if it changed the state. */
   private applySnapshot(
     snapshot: PublishedSnapshot,
-    source: 'store' | 'peer',
+    source: UpdateSource,
   ): boolean {
-    const {state, clock, fleet} = this.parts;
-    const nowMs = clock.nowMs();
-    const before = state.position;
-    const result = state.offerSnapshot(snapshot, nowMs);
-    if (result !== 'advanced' && result !== 'merged') {
-      return false;
-    }
-    if (state.era > before.era && before.revision > 0) {
-      this.logRestored(before, source);
-    }
-    this.onStateChanged(source);
-    const delta = state.changesAfter(before);
-    if (delta !== undefined && state.era > before.era) {
-      const isFromStore = source === 'store';
-      this.sendAll(fleet.forwardChanges(delta, {isFromStore, nowMs}));
-    }
-    return true;
+    const {replica, clock} = this.parts;
+    const update = replica.offerSnapshot(snapshot, source, clock.nowMs());
+    this.onUpdate(update, source);
+    return update.isChanged;
   }
 
   /** Applies a delta; returns false if changes before it are missing. */
-  private applyDelta(delta: PublishedDelta, isFromStore: boolean): boolean {
-    const {state, clock, fleet} = this.parts;
-    const nowMs = clock.nowMs();
-    const before = state.position;
-    const result = state.offerDelta(delta, nowMs);
-    if (state.era > before.era) {
-      this.logRestored(before, 'peer');
-    }
-    if (result === 'advanced' || result === 'merged') {
-      this.onStateChanged(isFromStore ? 'store' : 'peer');
+  private applyDelta(delta: PublishedDelta, source: UpdateSource): boolean {
+    const {replica, clock} = this.parts;
+    const update = replica.offerDelta(delta, source, clock.nowMs());
+    this.onUpdate(update, source);
+    return !update.isGap;
+  }
+
+  private onUpdate(update: ReplicaUpdate, source: UpdateSource): void {
+    if (update.restoredFrom !== undefined) {
+      this.logRestored(update.restoredFrom, source);
     }
-    const isForwarded =
-      delta.changes.length > 0 || delta.afterEra !== delta.era;
-    if (result === 'advanced' && isForwarded) {
-      this.sendAll(fleet.forwardChanges(delta, {isFromStore, nowMs}));
+    if (update.isChanged) {
+      this.onStateChanged(source);
     }
-    return result !== 'gap';
+    this.sendAll(update.dispatches);
   }
 
   private logRestored(before: StorePosition, source: 'store' | 'peer'): void {
@@ -464,8 +451,7 @@
   }
 
   private onStateChanged(source: string): void {
-    const {state, fleet, board, runner, engine, log} = this.parts;
-    fleet.setPosition(state.position, state.digest);
+    const {state, board, runner, engine, log} = this.parts;
     const {routesChanged, changedTargetIds} = state.takeChange();
     if (changedTargetIds.length > 0) {
       board.syncTargets(state.targets);
@@ -517,15 +503,22 @@
     this.isFetching = true;
     void this.fetchFromPeer(host, undefined).then(isChanged => {
       this.isFetching = false;
-      this.parts.fleet.onReconciled(isChanged);
+      if (isChanged !== undefined) {
+        this.parts.fleet.onReconciled(isChanged);
+      }
     });
   }
 
-  /** Fetches the state of a peer; returns true if it changed this VM's. */
+  /**
+   * Fetches the state of a peer.
+   *
+   * @returns true if a snapshot changed this VM's state; undefined if the fetch
+   *     failed
+   */
   private async fetchFromPeer(
     host: string,
     after: StorePosition | undefined,
-  ): Promise<boolean> {
+  ): Promise<boolean | undefined> {
     const {settings, fleet, clock, log} = this.parts;
     const sentMs = clock.nowMs();
     const fetched = await fetchPublished({
@@ -537,13 +530,13 @@
     if (fetched.isErr()) {
       const {type, reason} = fetched.error;
       log.warn('published', 'fetch from peer failed', {host, type, reason});
-      return false;
+      return undefined;
     }
     const {snapshot, delta, position} = fetched.value;
     const isChanged =
       snapshot !== undefined && this.applySnapshot(snapshot, 'peer');
     if (delta !== undefined) {
-      this.applyDelta(delta, false);
+      this.applyDelta(delta, 'peer');
     }
     fleet.recordPeerConfirmation(position, sentMs);
     return isChanged;
--- a/src/entry/published_reader.ts
+++ b/src/entry/published_reader.ts
@@ -5,6 +5,7 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Clock, InstantMs, RandomSource} from '../core/index.js';
+import {StoreReadPlan, type ReaderRole} from '../fleet/index.js';
 import {
   comparePositions,
   type PublishedDelta,
@@ -32,27 +33,6 @@
 /** Consecutive checks that may fail before the connections are closed. */
 const MAX_FAILED_CHECKS = 1;
 
-/**
- * Delay after changes, in milliseconds, to coalesce further ones into one call.
- */
-const COALESCE_DELAY_MS = 120;
-
-/**
- * Delay after a failed call, in milliseconds; doubles with each further
- * failure.
- */
-const RETRY_DELAY_MS = 200;
-
-/** Longest delay after failed calls, in milliseconds, before jitter. */
-const MAX_RETRY_DELAY_MS = 1_600;
-
-/**
- * Mean delay in milliseconds of a full read by a VM that is not an assigned
- * reader. Peers tell it the state in the meantime, which saves the read when
- * all VMs read by themselves.
- */
-const UNASSIGNED_READ_DELAY_MS = 600;
-
 /**
  * Time in milliseconds for which the store may report a newer revision than a
  * pending wait has delivered.
@@ -78,8 +58,8 @@
   readonly random: RandomSource;
   /** Returns the position of this VM; revision 0 before the first snapshot. */
   readonly position: () => StorePosition;
-  /** Reports whether the fleet has assigned the role of a reader to this VM. */
-  readonly isAssigned: () => boolean;
+  /** Returns the role of this VM among those that read the store. */
+  readonly role: () => ReaderRole;
   readonly listener: ReaderListener;
 }
 
@@ -90,10 +70,7 @@
 export class PublishedReader {
   private isActive = false;
   private isFailing = false;
-  private failureCount = 0;
-  /** Position whose history the store no longer has. */
-  private lostPosition: StorePosition | undefined;
-  private hasWatchedSinceSnapshot = true;
+  private readonly plan: StoreReadPlan;
   private generation = 0;
   private callsMade = 0;
   private storeAheadSinceMs: InstantMs | undefined;
@@ -101,7 +78,9 @@
   private isWaiting = false;
 
   /** @param options - store, clock, random source and listener */
-  constructor(private readonly options: PublishedReaderOptions) {}
+  constructor(private readonly options: PublishedReaderOptions) {
+    this.plan = new StoreReadPlan(options.random);
+  }
 
   /** Reports whether reading is active. */
   get active(): boolean {
@@ -124,7 +103,7 @@
     }
     this.isActive = isActive;
     this.generation += 1;
-    this.failureCount = 0;
+    this.plan.restart();
     if (isActive) {
       void this.readLoop(this.generation);
       void this.checkLoop(this.generation);
@@ -139,57 +118,42 @@
   }
 
   private async readLoop(generation: number): Promise<void> {
+    const {clock, position} = this.options;
     while (this.isCurrent(generation)) {
-      const hasSucceeded = (await this.shouldReadSnapshot())
-        ? await this.readSnapshot()
-        : await this.waitForChanges();
-      if (this.isCurrent(generation) && !hasSucceeded) {
-        await sleep(this.nextRetryDelayMs());
+      const {type, startMs} = this.plan.next(position());
+      const delayMs = startMs - clock.nowMs();
+      if (delayMs > 0) {
+        await sleep(delayMs);
+      } else if (type === 'read-all') {
+        await this.readAll();
+      } else {
+        await this.waitForChanges();
       }
     }
   }
 
-  /**
-   * Decides between a full read and a wait. After a loss of history a VM that
-   * is not an assigned reader first gives its peers time.
-   */
-  private async shouldReadSnapshot(): Promise<boolean> {
-    const {position, isAssigned, random} = this.options;
-    if (this.lostPosition === undefined) {
-      return position().revision === 0;
-    }
-    if (!isAssigned()) {
-      await sleep(UNASSIGNED_READ_DELAY_MS * (0.5 + random.nextFloat()));
-    }
-    const isSame = comparePositions(position(), this.lostPosition) === 0;
-    this.lostPosition = isSame ? this.lostPosition : undefined;
-    return isSame;
-  }
-
-  private async readSnapshot(): Promise<boolean> {
+  private async readAll(): Promise<void> {
     const {source, clock, listener, position} = this.options;
     const sentMs = clock.nowMs();
     this.callsMade += 2;
     const read = await source.readAll(READ_ALL_TIMEOUT_MS);
     if (read.isErr()) {
       this.onError(read.error);
-      return false;
+      return;
     }
     const {era} = read.value;
     if (era < position().era) {
       this.onError({type: 'outdated', reason: `snapshot of era ${era}`});
-      return false;
+      return;
     }
-    this.lostPosition = undefined;
-    this.hasWatchedSinceSnapshot = false;
-    this.onSuccess();
+    this.plan.onReadAll();
+    this.setFailing(false, undefined);
     listener.onSnapshot(read.value);
     listener.onConfirmed(sentMs);
-    return true;
   }
 
-  private async waitForChanges(): Promise<boolean> {
-    const {source, clock, listener, position} = this.options;
+  private async waitForChanges(): Promise<void> {
+    const {source, clock, listener, position, role} = this.options;
     const sentMs = clock.nowMs();
     const after = position();
     this.callsMade += 1;
@@ -201,39 +165,19 @@
     );
     this.isWaiting = false;
     this.storeAheadSinceMs = undefined;
-    if (result.isErr()) {
-      return this.onWaitFailed(result.error, after);
-    }
-    this.hasWatchedSinceSnapshot = true;
-    this.onSuccess();
-    listener.onDelta(result.value);
-    if (position().era === result.value.era) {
-      listener.onConfirmed(Math.max(sentMs, clock.nowMs() - this.roundTripMs));
-    }
-    if (result.value.changes.length > 0) {
-      await sleep(COALESCE_DELAY_MS);
-    }
-    return true;
-  }
-
-  /**
-   * Handles a failed wait.
-   *
-   * @returns true if a full read may follow at once; a full read that did not
-   *     lead to a position with history counts as a failure
-   */
-  private onWaitFailed(error: SourceError, after: StorePosition): boolean {
-    if (error.type === 'history-lost') {
-      this.lostPosition = after;
-    }
-    if (this.lostPosition === undefined) {
-      this.onError(error);
-      return false;
-    }
-    if (!this.hasWatchedSinceSnapshot) {
-      this.onError(error);
+    const nowMs = clock.nowMs();
+    if (result.isOk()) {
+      this.plan.onWaited(result.value.changes.length, nowMs);
+      this.setFailing(false, undefined);
+      listener.onDelta(result.value);
+      if (position().era === result.value.era) {
+        listener.onConfirmed(Math.max(sentMs, nowMs - this.roundTripMs));
+      }
+    } else if (result.error.type === 'history-lost') {
+      this.plan.onHistoryLost(after, role(), nowMs);
+    } else if (!this.plan.isHistoryLost) {
+      this.onError(result.error);
     }
-    return this.hasWatchedSinceSnapshot;
   }
 
   private async checkLoop(generation: number): Promise<void> {
@@ -252,7 +196,7 @@
   }
 
   private async check(): Promise<boolean> {
-    const {source, clock, listener, position} = this.options;
+    const {source, clock, listener, position, role} = this.options;
     const sentMs = clock.nowMs();
     this.callsMade += 1;
     const result = await source.check(CHECK_TIMEOUT_MS);
@@ -265,7 +209,7 @@
     const known = position();
     if (result.value.era > known.era) {
       // The pending wait follows a revision of the previous era.
-      this.lostPosition = known;
+      this.plan.onHistoryLost(known, role(), nowMs);
       source.close();
     } else if (comparePositions(result.value, known) > 0) {
       this.onStoreAhead(nowMs);
@@ -292,25 +236,15 @@
   }
 
   private onError(error: SourceError): void {
-    this.failureCount += 1;
+    const {role, clock} = this.options;
+    this.plan.onFailed(role(), clock.nowMs());
     this.setFailing(true, error);
   }
 
-  private onSuccess(): void {
-    this.failureCount = 0;
-    this.setFailing(false, undefined);
-  }
-
   private setFailing(isFailing: boolean, error: SourceError | undefined): void {
     if (isFailing !== this.isFailing) {
       this.isFailing = isFailing;
       this.options.listener.onReadStatusChanged(isFailing, error);
     }
   }
-
-  private nextRetryDelayMs(): number {
-    const factor = 2 ** Math.max(0, this.failureCount - 1);
-    const delayMs = Math.min(RETRY_DELAY_MS * factor, MAX_RETRY_DELAY_MS);
-    return delayMs * (0.75 + this.options.random.nextFloat() / 2);
-  }
 }
--- a/src/entry/published_reader_test.ts
+++ b/src/entry/published_reader_test.ts
@@ -95,7 +95,7 @@
     clock: new SystemClock(),
     random: new SeededRandom({seed: 2}),
     position: () => ({era: revision === 0 ? 0 : 1, revision}),
-    isAssigned: () => true,
+    role: () => ({isAssigned: true, fleetSize: 1}),
     listener: {
       onSnapshot: snapshot => (revision = snapshot.revision),
       onDelta: delta => (revision = delta.revision),
--- a/src/fleet/fleet_node.ts
+++ b/src/fleet/fleet_node.ts
@@ -91,7 +91,7 @@
   /** True if the sender has a newer position, so changes should be fetched. */
   readonly isSenderAhead: boolean;
   /**
-   * True if the sender knows something else at the same position, so its
+   * True if the sender may know something else at the same position, so its
    * complete state should be fetched.
    */
   readonly isSenderDifferent: boolean;
@@ -116,6 +116,7 @@
   private digest = '';
   private nextReconcileMs: InstantMs = -Infinity;
   private reconcileIntervalMs = MIN_RECONCILE_INTERVAL_MS;
+  private mustReconcile = false;
   private quarantineDigest = 0;
   private confirmedMs: InstantMs = -Infinity;
   private peerConfirmedMs: InstantMs = -Infinity;
@@ -213,11 +214,20 @@
   }
 
   /**
-   * Records the result of a fetch from a peer that knew something else.
+   * Asks for what a peer of the same position knows beyond the store, because
+   * this VM may have missed changes that a restored store has lost.
+   */
+  requestReconciliation(): void {
+    this.mustReconcile = true;
+  }
+
+  /**
+   * Records the result of a fetch from a peer that may know something else.
    *
    * @param isChanged - true if the fetch changed this VM's state
    */
   onReconciled(isChanged: boolean): void {
+    this.mustReconcile = false;
     this.reconcileIntervalMs = isChanged
       ? MIN_RECONCILE_INTERVAL_MS
       : Math.min(2 * this.reconcileIntervalMs, MAX_RECONCILE_INTERVAL_MS);
@@ -424,8 +434,10 @@
 
   private shouldReconcile(position: KnownPosition, nowMs: InstantMs): boolean {
     const {revision} = this.ownPosition;
-    const isEqual = position.digest === this.digest || position.digest === '';
-    if (revision === 0 || isEqual || nowMs < this.nextReconcileMs) {
+    const isDifferent =
+      position.digest !== '' &&
+      (this.mustReconcile || position.digest !== this.digest);
+    if (revision === 0 || !isDifferent || nowMs < this.nextReconcileMs) {
       return false;
     }
     this.nextReconcileMs = nowMs + this.reconcileIntervalMs;
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -20,6 +20,16 @@
   MEMBER_DOWN_MS,
   MemberDirectory,
 } from './member_directory.js';
+export {
+  PublishedReplica,
+  type ReplicaUpdate,
+  type UpdateSource,
+} from './published_replica.js';
+export {
+  StoreReadPlan,
+  type PlannedRead,
+  type ReaderRole,
+} from './store_read_plan.js';
 export {
   STALE_AFTER_MS,
   StoreReadPolicy,
--- a/src/registry/published_state.ts
+++ b/src/registry/published_state.ts
@@ -131,7 +131,12 @@
       this.registry.mergeDeparture(departure, nowMs);
     }
     const missingDeadlineMs = isRestored ? this.missingDeadlineMs() : undefined;
-    this.registry.replace(targets, {era, missingDeadlineMs, nowMs});
+    this.registry.replace(targets, {
+      era,
+      previousEra: before.era,
+      missingDeadlineMs,
+      nowMs,
+    });
     if (routes !== undefined) {
       this.putRoutes(routes);
     }
@@ -226,10 +231,11 @@
   /**
    * Drops targets that a restored store has lacked for too long.
    *
+   * @param confirmedMs - instant up to which the store has told all changes
    * @param nowMs - current instant in milliseconds
    */
-  expire(nowMs: InstantMs): void {
-    this.registry.expire(nowMs);
+  expire(confirmedMs: InstantMs, nowMs: InstantMs): void {
+    this.registry.expire(this.currentEra, confirmedMs, nowMs);
   }
 
   /** True if the state has changed since `takeChange` was last called. */
--- a/src/registry/target_registry.ts
+++ b/src/registry/target_registry.ts
@@ -8,6 +8,7 @@
   Departure,
   RegisteredTarget,
   ReportedDeparture,
+  Revision,
   StoreEra,
 } from './types.js';
 
@@ -194,28 +195,38 @@
    * Replaces the listed targets with those of a newer snapshot.
    *
    * @param targets - targets of the snapshot
-   * @param options - `era`: era of the snapshot; `missingDeadlineMs`: if the
-   *     era is new, the deadline of targets that it lacks; `nowMs`: current
-   *     instant in milliseconds
+   * @param options - `era`: era of the snapshot; `previousEra`: era before it;
+   *     `missingDeadlineMs`: if the era is new, the deadline of targets that it
+   *     lacks; `nowMs`: current instant in milliseconds
    */
   replace(
     targets: readonly RegisteredTarget[],
     options: {
       readonly era: StoreEra;
+      readonly previousEra: StoreEra;
       readonly missingDeadlineMs: InstantMs | undefined;
       readonly nowMs: InstantMs;
     },
   ): void {
-    const {era, missingDeadlineMs, nowMs} = options;
+    const {era, previousEra, missingDeadlineMs, nowMs} = options;
     const listedIds = new Set(targets.map(({targetId}) => targetId));
-    for (const targetId of this.known.keys()) {
+    const copiedRevision = this.findCopiedRevision(targets);
+    for (const {targetId, revision, draining} of this.known.values()) {
       if (listedIds.has(targetId)) {
         continue;
       }
-      if (missingDeadlineMs !== undefined) {
-        this.markMissing(targetId, missingDeadlineMs);
-      } else if (!this.missing.has(targetId)) {
+      const isMissing = this.missing.has(targetId);
+      if (missingDeadlineMs === undefined) {
+        if (!isMissing) {
+          this.remove(targetId, era, nowMs);
+        }
+      } else if (!isMissing && revision <= copiedRevision) {
+        // The copy had the target, so it was removed since then.
         this.remove(targetId, era, nowMs);
+      } else if (draining) {
+        this.remove(targetId, previousEra, nowMs);
+      } else {
+        this.markMissing(targetId, missingDeadlineMs);
       }
     }
     for (const targetId of this.suppressed.keys()) {
@@ -244,8 +255,8 @@
   ): void {
     const {era, nowMs} = options;
     for (const departure of departures) {
-      // Removals of the current era are in the store's own order.
-      if (departure.era < era) {
+      // The store's own order decides on removals of the current era.
+      if (departure.era < era || this.missing.has(departure.targetId)) {
         this.mergeDeparture(departure, nowMs);
       }
     }
@@ -265,12 +276,14 @@
   /**
    * Drops targets that the store has lacked for too long, and old departures.
    *
+   * @param era - current era
+   * @param confirmedMs - instant up to which the store has told all changes
    * @param nowMs - current instant in milliseconds
    */
-  expire(nowMs: InstantMs): void {
+  expire(era: StoreEra, confirmedMs: InstantMs, nowMs: InstantMs): void {
     for (const [targetId, deadlineMs] of this.missing) {
-      if (nowMs >= deadlineMs) {
-        this.forget(targetId);
+      if (confirmedMs >= deadlineMs) {
+        this.remove(targetId, era, nowMs);
       }
     }
     for (const [targetId, {expiresMs}] of this.departed) {
@@ -347,6 +360,25 @@
     }
   }
 
+  /**
+   * Returns a revision up to which the restored store has the history that this
+   * VM knows: the greatest one of an entry that both have.
+   */
+  private findCopiedRevision(targets: readonly RegisteredTarget[]): Revision {
+    let copiedRevision = 0;
+    for (const target of targets) {
+      const before = this.known.get(target.targetId);
+      if (
+        before !== undefined &&
+        !this.missing.has(target.targetId) &&
+        isSameEntry(before, target)
+      ) {
+        copiedRevision = Math.max(copiedRevision, target.revision);
+      }
+    }
+    return copiedRevision;
+  }
+
   /** Returns the entry with the drain that the target reported later. */
   private holdDrain(
     entry: RegisteredTarget,
