Order documents of the presets daemon by the platform's era too

What callers would see: after a restore of the platform, a preset published under a version that was given out before reached no VM for up to 60 s (the interval of unconditional reads; the bound is 5 s), and a list of VMs was ignored until its version exceeded the lost ones.

The platform's version alone told what is newer, and a watch waited for a version above one that was lost.

Change: the platform tells its era (x-platform-era); versions are ordered by revision, era, version, hash; a watch of another era or of a version that is gone (410) is followed by an unconditional read. A list of an era whose version is not above the known one may be that of the older copy: what is leaving or was removed stays so, what it lacks is kept, until the next publication. The era is logged, recorded in the timeline and shown by the status command.

Shown: the test with a restored stand-in hangs without the handling of 410 and eras, and the test of the list fails without the merge. VMs of the release before send no era, which is read as 0.

--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -85,6 +85,7 @@
   'adopted',
   'vms version',
   'members',
+  'platform era',
 ];
 
 /** Formats the table row of a VM. */
@@ -106,6 +107,7 @@
       : `${Math.round(config.adoptedAgeMs / 1_000)} s ago`,
     String(vms.platformVersion ?? '-'),
     String(live.length),
+    String(vms.platformEra ?? config.platformEra ?? '-'),
   ];
 }
 
--- a/src/cli/vm_client.ts
+++ b/src/cli/vm_client.ts
@@ -18,12 +18,14 @@
 const versionSchema = z.object({
   revision: z.number(),
   platformVersion: z.number(),
+  platformEra: z.number().default(0),
   sha256: z.string(),
 });
 
 const documentSchema = z.object({
   revision: z.number().nullable(),
   platformVersion: z.number().nullable(),
+  platformEra: z.number().nullable().default(null),
   sha256: z.string().nullable(),
   adoptedAgeMs: z.number().nullable(),
   refused: z.array(versionSchema.extend({reason: z.string()})),
--- a/src/cli/watch_progress.ts
+++ b/src/cli/watch_progress.ts
@@ -77,7 +77,9 @@
   if (revision === null || platformVersion === null || sha256 === null) {
     return withState('waiting', 'has no document yet');
   }
-  const other = {revision, platformVersion, sha256};
+  // An operator names the version of a publication, which is of the same era.
+  const platformEra = config.platformEra ?? 0;
+  const other = {revision, platformVersion, platformEra, sha256};
   const name = `revision ${revision}, platform version ${platformVersion}, hash ${sha256}`;
   if (revision > watched.revision) {
     return withState('lost', `a later document won: ${name}`);
@@ -91,6 +93,7 @@
       compareVersions(other, {
         ...watched,
         platformVersion: watched.platformVersion,
+        platformEra,
       }) > 0);
   return isLater
     ? withState('lost', `another publication of this revision won: ${name}`)
--- a/src/daemon/document_exchange.ts
+++ b/src/daemon/document_exchange.ts
@@ -26,6 +26,8 @@
 const versionSchema = z.object({
   revision: z.number(),
   platformVersion: z.number(),
+  // VMs of an earlier release do not tell it.
+  platformEra: z.number().default(0),
   sha256: z.string(),
 });
 
@@ -54,6 +56,7 @@
   private readonly fetching = new Set<DocumentName>();
   private listener: DocumentListener | undefined;
   private reader: PlatformReader | undefined;
+  private platformEra: number | undefined;
 
   /** @param options - stores, membership and transport */
   constructor(private readonly options: DocumentExchangeOptions) {}
@@ -78,6 +81,7 @@
   offer(published: PublishedDocument): void {
     const {config, vms, clock} = this.options;
     const nowMs = clock.nowMs();
+    this.logRestored(published.version.platformEra);
     if (published.name === 'config') {
       const outcome = config.offer(published, nowMs);
       this.recordOutcome(published, outcome);
@@ -164,6 +168,16 @@
       .find(member => ownerIdOf(member.incarnation) === ownerId)?.incarnation;
   }
 
+  /** Logs that the platform was restored from an older copy. */
+  private logRestored(platformEra: number): void {
+    const {events, log} = this.options;
+    if (this.platformEra !== undefined && platformEra > this.platformEra) {
+      log.warn(`the platform was restored from a copy, era ${platformEra}`);
+      events.record('config', 'platform-restored', {platformEra});
+    }
+    this.platformEra = Math.max(this.platformEra ?? 0, platformEra);
+  }
+
   private recordOutcome(
     published: PublishedDocument,
     outcome: {readonly type: string; readonly reason?: string},
@@ -174,6 +188,7 @@
       document: name,
       revision: version.revision,
       platformVersion: version.platformVersion,
+      platformEra: version.platformEra,
       sha256: version.sha256,
     };
     if (outcome.type === 'unchanged' || outcome.type === 'ignored') {
--- a/src/peer_grpc/codec.ts
+++ b/src/peer_grpc/codec.ts
@@ -265,7 +265,9 @@
   const {sha256, body} = wire;
   const revision = checkCount(wire.revision, 'revision');
   const platformVersion = checkCount(wire.platformVersion, 'platform_version');
-  return {name, version: {revision, platformVersion, sha256}, body};
+  const platformEra = checkCount(wire.platformEra, 'platform_era');
+  const version = {revision, platformVersion, platformEra, sha256};
+  return {name, version, body};
 }
 
 /** @internal */
--- a/src/peer_grpc/peer_grpc_test.ts
+++ b/src/peer_grpc/peer_grpc_test.ts
@@ -52,7 +52,12 @@
 
 const DOCUMENT: PublishedDocument = {
   name: 'config',
-  version: {revision: 3, platformVersion: 9, sha256: 'a'.repeat(64)},
+  version: {
+    revision: 3,
+    platformVersion: 9,
+    platformEra: 2,
+    sha256: 'a'.repeat(64),
+  },
   body: 'x'.repeat(1_000_000),
 };
 
--- a/src/peer_grpc/wire.ts
+++ b/src/peer_grpc/wire.ts
@@ -119,6 +119,7 @@
 export interface WireDocument {
   readonly revision: number;
   readonly platformVersion: number;
+  readonly platformEra: number;
   readonly sha256: string;
   readonly body: string;
 }
--- a/src/platform_http/platform_client.ts
+++ b/src/platform_http/platform_client.ts
@@ -21,10 +21,18 @@
 /** Header with the version that the platform assigned to a document. */
 const VERSION_HEADER = 'x-platform-version';
 
+/** Header with the number of times that the platform was restored. */
+const ERA_HEADER = 'x-platform-era';
+
+/** Status for a version that the platform does not have. */
+const STATUS_GONE = 410;
+
 /** Error of a call to the platform. */
 export type PlatformError =
   /** No complete response: refused, timed out, broken off or aborted. */
   | {readonly type: 'unreachable'; readonly reason: string}
+  /** The platform was restored and does not have the watched version. */
+  | {readonly type: 'history-lost'; readonly reason: string}
   /** The response violates the protocol. */
   | {readonly type: 'malformed-answer'; readonly reason: string};
 
@@ -40,6 +48,8 @@
   readonly name: DocumentName;
   /** Waits for a version above this one; undefined to read without waiting. */
   readonly after: number | undefined;
+  /** Era of the version waited for. */
+  readonly era: number | undefined;
   /** Time to wait for a newer version, in milliseconds. */
   readonly waitMs: number;
   /** Value of the `user-agent` header. */
@@ -109,7 +119,17 @@
   options: CallOptions,
   response: Response<Buffer>,
 ): Result<PlatformResponse, PlatformError> {
-  if (response.statusCode === 304 && options.after !== undefined) {
+  const era = parseVersion(response.headers[ERA_HEADER] ?? '0');
+  if (era === undefined) {
+    return malformedResponse(
+      `header ${ERA_HEADER} is ${response.headers[ERA_HEADER]}`,
+    );
+  }
+  const isWatch = options.after !== undefined;
+  if (isWatch && (response.statusCode === STATUS_GONE || era !== options.era)) {
+    return err({type: 'history-lost', reason: `the platform is in era ${era}`});
+  }
+  if (response.statusCode === 304 && isWatch) {
     return ok(undefined);
   }
   if (response.statusCode !== 200) {
@@ -125,7 +145,7 @@
   const body = decode(response.body);
   return body === undefined
     ? malformedResponse('a body that is not UTF-8')
-    : ok(publishedDocument(options.name, platformVersion, body));
+    : ok(publishedDocument(options.name, platformVersion, body, era));
 }
 
 /** Parses a version; returns undefined if it is not a safe integer. */
--- a/src/platform_http/platform_reader.ts
+++ b/src/platform_http/platform_reader.ts
@@ -12,7 +12,11 @@
   type PlatformError,
   type PlatformResponse,
 } from './platform_client.js';
-import {MAX_WATCH_MS, WatchSchedule} from './watch_schedule.js';
+import {
+  MAX_WATCH_MS,
+  WatchSchedule,
+  type PlannedCall,
+} from './watch_schedule.js';
 
 /** Names of the watched documents. */
 const DOCUMENT_NAMES = ['config', 'vms'] as const satisfies DocumentName[];
@@ -125,11 +129,13 @@
       }
       schedule.recordStart(call, clock.nowMs());
       const baseUrl = baseUrls[urlIndex % baseUrls.length] ?? '';
-      const response = await this.call(baseUrl, name, call.after, signal);
+      const response = await this.call(baseUrl, name, call, signal);
       if (signal.aborted) {
         return;
       }
-      if (response.isErr()) {
+      if (response.isErr() && response.error.type === 'history-lost') {
+        schedule.recordOutcome({type: 'history-lost'}, clock.nowMs());
+      } else if (response.isErr()) {
         schedule.recordOutcome({type: 'failed'}, clock.nowMs());
         urlIndex++;
         this.counts.errors++;
@@ -137,8 +143,8 @@
       } else if (response.value === undefined) {
         schedule.recordOutcome({type: 'unchanged'}, clock.nowMs());
       } else {
-        const {platformVersion} = response.value.version;
-        const outcome = schedule.classify(platformVersion, call.after);
+        const {version} = response.value;
+        const outcome = schedule.classify(version, call.after);
         schedule.recordOutcome(outcome, clock.nowMs());
         this.counts.documents++;
         this.options.listener.onDocument(response.value);
@@ -150,7 +156,7 @@
   private call(
     baseUrl: string,
     name: DocumentName,
-    after: number | undefined,
+    {after, era}: PlannedCall,
     signal: AbortSignal,
   ): Promise<Result<PlatformResponse, PlatformError>> {
     const {vmId, watchMs = MAX_WATCH_MS} = this.options;
@@ -159,6 +165,7 @@
       baseUrl,
       name,
       after,
+      era,
       waitMs: Math.min(watchMs, MAX_WATCH_MS),
       userAgent: `sycamorepitch/${vmId}`,
       signal,
--- a/src/platform_http/platform_reader_test.ts
+++ b/src/platform_http/platform_reader_test.ts
@@ -230,6 +230,45 @@
   },
 );
 
+test(
+  'publications of a restored platform arrive, though their versions were given out before',
+  limits,
+  async t => {
+    // Guards against a watch of a version that the platform has lost.
+    const {platform, baseUrl} = await startPlatform(t);
+    const fixture = new ReaderFixture(t, [baseUrl]);
+    const list = (state: string): string =>
+      JSON.stringify({
+        vms: [
+          {
+            id: 't-1',
+            role: 'target',
+            service: 's',
+            host: '10.0.0.1',
+            port: 80,
+            failureDomain: 'a',
+            state,
+          },
+        ],
+      });
+    const stateInUse = (): string | undefined =>
+      fixture.vms.adopted?.document.vms[0]?.state;
+    const copied = platform.publish('vms', list('live'));
+    platform.publish('config', sampleConfig(2));
+    platform.publish('vms', list('leaving'));
+    await fixture.waitFor(
+      () => fixture.revision === 2 && stateInUse() === 'leaving',
+    );
+    platform.setMode({restoreTo: copied});
+    platform.publish('config', sampleConfig(3));
+    await fixture.waitFor(() => fixture.revision === 3);
+    await fixture.waitFor(() => fixture.vms.status(0).platformEra === 2);
+    assert.equal(stateInUse(), 'leaving');
+    platform.publish('vms', list('live'));
+    await fixture.waitFor(() => stateInUse() === 'live');
+  },
+);
+
 test('a lagging platform delays the VM list', limits, async t => {
   // Guards against a simulated platform whose lag does not affect readers.
   const {platform, baseUrl} = await startPlatform(t);
@@ -246,10 +285,15 @@
 test('the call rate is bounded for any sequence of outcomes', () => {
   // Guards against a fleet that exceeds the platform's rate limit (invariant
   // I1).
+  const position = fc.record({
+    platformEra: fc.nat(3),
+    platformVersion: fc.nat(),
+  });
   const outcome = fc.oneof(
     fc.constantFrom<CallOutcome>({type: 'unchanged'}, {type: 'failed'}),
-    fc.nat().map(v => ({type: 'newer', platformVersion: v}) as const),
-    fc.nat().map(v => ({type: 'not-newer', platformVersion: v}) as const),
+    fc.constant({type: 'history-lost'} as const),
+    position.map(version => ({type: 'newer', version}) as const),
+    position.map(version => ({type: 'not-newer', version}) as const),
   );
   const step = fc.record({outcome, durationMs: fc.nat(MAX_WATCH_MS)});
   fc.assert(
--- a/src/platform_http/watch_schedule.ts
+++ b/src/platform_http/watch_schedule.ts
@@ -9,6 +9,7 @@
  * @packageDocumentation
  */
 import type {InstantMs, RandomSource} from '../core/index.js';
+import type {DocumentVersion} from '../preset/index.js';
 
 /** Maximum duration of a watch. */
 export const MAX_WATCH_MS = 25_000;
@@ -32,14 +33,22 @@
  */
 const MAX_CONDITIONAL_MS = 60_000;
 
+/** Position in the history of the platform. */
+export type PlatformPosition = Pick<
+  DocumentVersion,
+  'platformEra' | 'platformVersion'
+>;
+
 /** Outcome of a call. */
 export type CallOutcome =
   /** A version above the last one, or the result of an unconditional read. */
-  | {readonly type: 'newer'; readonly platformVersion: number}
+  | {readonly type: 'newer'; readonly version: PlatformPosition}
   /** The last version or a lower one, such as a stale response. */
-  | {readonly type: 'not-newer'; readonly platformVersion: number}
+  | {readonly type: 'not-newer'; readonly version: PlatformPosition}
   /** The watch ended without a newer version. */
   | {readonly type: 'unchanged'}
+  /** The platform was restored and does not have the watched version. */
+  | {readonly type: 'history-lost'}
   | {readonly type: 'failed'};
 
 /** Call to make next. */
@@ -50,6 +59,8 @@
    * Waits for a version above this one; undefined for an unconditional read.
    */
   readonly after: number | undefined;
+  /** Era of that version. */
+  readonly era: number | undefined;
 }
 
 /**
@@ -62,7 +73,7 @@
  * ```
  */
 export class WatchSchedule {
-  private lastVersion: number | undefined;
+  private lastVersion: PlatformPosition | undefined;
   private lastStartMs = -Infinity;
   private lastUnconditionalMs = -Infinity;
   private failureCount = 0;
@@ -87,7 +98,8 @@
     );
     const isUnconditional =
       startMs - this.lastUnconditionalMs >= MAX_CONDITIONAL_MS;
-    return {startMs, after: isUnconditional ? undefined : this.lastVersion};
+    const last = isUnconditional ? undefined : this.lastVersion;
+    return {startMs, after: last?.platformVersion, era: last?.platformEra};
   }
 
   /**
@@ -112,7 +124,7 @@
   recordOutcome(outcome: CallOutcome, nowMs: InstantMs): void {
     switch (outcome.type) {
       case 'newer':
-        this.lastVersion = outcome.platformVersion;
+        this.lastVersion = outcome.version;
         this.failureCount = 0;
         return;
       case 'unchanged':
@@ -121,9 +133,13 @@
       case 'not-newer':
         // Without backoff, a platform that responds to a watch immediately with
         // an old version would be called at the maximum rate.
-        this.lastVersion = outcome.platformVersion;
+        this.lastVersion = outcome.version;
         this.backOff(nowMs);
         return;
+      case 'history-lost':
+        // The next call is an unconditional read.
+        this.lastVersion = undefined;
+        return;
       case 'failed':
         this.backOff(nowMs);
         return;
@@ -133,15 +149,15 @@
   /**
    * Classifies the version of a document received.
    *
-   * @param platformVersion - version of the document
+   * @param version - position of the document
    * @param after - version that the document had to exceed; undefined for an
    *     unconditional read
    * @returns the outcome of the call
    */
-  classify(platformVersion: number, after: number | undefined): CallOutcome {
-    return after === undefined || platformVersion > after
-      ? {type: 'newer', platformVersion}
-      : {type: 'not-newer', platformVersion};
+  classify(version: PlatformPosition, after: number | undefined): CallOutcome {
+    return after === undefined || version.platformVersion > after
+      ? {type: 'newer', version}
+      : {type: 'not-newer', version};
   }
 
   /**
--- a/src/preset/document_store.ts
+++ b/src/preset/document_store.ts
@@ -18,6 +18,7 @@
 } from './input_issue.js';
 import {parseConfigDocument} from './parse_config.js';
 import {parseVmListDocument} from './parse_vms.js';
+import {VmListHistory} from './restored_vm_list.js';
 import type {DocumentStatus, RefusedVersion} from './status_types.js';
 import type {
   ConfigDocument,
@@ -104,13 +105,15 @@
 
   /**
    * @param options - `name`: name of the document; `parse`: parser of its body;
-   *     `revisionOf`: reads the revision of a parsed document
+   *     `revisionOf`: reads the revision of a parsed document; `merge`: returns
+   *     the document to use, which may be that of an older copy
    */
   constructor(
     private readonly options: {
       readonly name: DocumentName;
       readonly parse: (body: string) => Result<T, DocumentError>;
       revisionOf(document: T): number;
+      merge?(document: T, previous: T | undefined, isOlderCopy: boolean): T;
     },
   ) {}
 
@@ -185,6 +188,7 @@
     return {
       revision: current?.published.version.revision ?? null,
       platformVersion: current?.published.version.platformVersion ?? null,
+      platformEra: current?.published.version.platformEra ?? null,
       sha256: current?.published.version.sha256 ?? null,
       adoptedAgeMs: current === undefined ? null : nowMs - current.adoptedMs,
       refused,
@@ -213,7 +217,12 @@
   ): OfferOutcome<T> {
     chart.next('offered', 'greatest');
     const previous = this.current?.published.version;
-    const adopted = {published, document, adoptedMs: nowMs};
+    const isOlderCopy =
+      previous !== undefined && isFromOlderCopy(published.version, previous);
+    const used =
+      this.options.merge?.(document, this.current?.document, isOlderCopy) ??
+      document;
+    const adopted = {published, document: used, adoptedMs: nowMs};
     this.current = adopted;
     if (previous === undefined) {
       return {
@@ -246,6 +255,7 @@
     }
     if (
       version.revision < current.revision &&
+      version.platformEra === current.platformEra &&
       version.platformVersion > current.platformVersion
     ) {
       const reason = `published later than revision ${current.revision} but with the lower revision ${version.revision}; expected at least ${current.revision + 1}`;
@@ -281,6 +291,20 @@
   }
 }
 
+/**
+ * Returns whether a version may be that of an older copy from which the platform
+ * was restored. The versions of an era count on from those of its copy.
+ */
+function isFromOlderCopy(
+  version: DocumentVersion,
+  previous: DocumentVersion,
+): boolean {
+  return (
+    version.platformEra > previous.platformEra &&
+    version.platformVersion <= previous.platformVersion
+  );
+}
+
 /**
  * Creates the store of the operators' document.
  *
@@ -310,10 +334,13 @@
  * ```
  */
 export function createVmListStore(): DocumentStore<VmListDocument> {
+  const history = new VmListHistory();
   return new DocumentStore({
     name: 'vms',
     parse: parseVmListDocument,
     revisionOf: () => 0,
+    merge: (list, previous, isOlderCopy) =>
+      history.adopt(list, previous, isOlderCopy),
   });
 }
 
--- a/src/preset/document_store_test.ts
+++ b/src/preset/document_store_test.ts
@@ -20,11 +20,12 @@
   .record({
     revision: fc.integer({min: 1, max: 5}),
     platformVersion: fc.integer({min: 1, max: 5}),
+    platformEra: fc.integer({min: 0, max: 2}),
     capacity: fc.integer({min: -1, max: 2}),
   })
-  .map(({revision, platformVersion, capacity}) => {
+  .map(({revision, platformVersion, platformEra, capacity}) => {
     const body = sampleConfig(revision, {queueCapacity: capacity});
-    return publishedDocument('config', platformVersion, body);
+    return publishedDocument('config', platformVersion, body, platformEra);
   });
 
 function isValid(document: PublishedDocument): boolean {
@@ -210,3 +211,37 @@
   assert.deepEqual(selectPlatformReaders(['e-1']), ['e-1']);
   assert.deepEqual(selectPlatformReaders([]), []);
 });
+
+test('a list of an older copy brings back no VM that left, and drops none in use', () => {
+  // Guards against requests to targets that the restored platform lists as live.
+  const states = {a: 'live', b: 'leaving'} as const;
+  const list = (
+    entries: Readonly<Record<string, 'live' | 'leaving'>>,
+  ): string =>
+    JSON.stringify({
+      vms: Object.entries(entries).map(([id, state]) => ({
+        id,
+        role: 'target',
+        service: 's',
+        host: '10.0.0.1',
+        port: 80,
+        failureDomain: 'a',
+        state,
+      })),
+    });
+  const store = createVmListStore();
+  const offer = (era: number, version: number, body: string): object =>
+    Object.fromEntries(
+      (store.offer(publishedDocument('vms', version, body, era), 0),
+      store.adopted?.document.vms ?? []).map(({id, state}) => [id, state]),
+    );
+  offer(1, 5, list({gone: 'live', b: 'live'}));
+  assert.deepEqual(offer(1, 9, list(states)), states);
+  const copy = list({gone: 'live', b: 'live', other: 'live'});
+  const merged = {...states, other: 'live'};
+  assert.deepEqual(offer(2, 6, copy), merged);
+  assert.deepEqual(offer(1, 10, copy), merged);
+  assert.deepEqual(offer(3, 6, copy), merged);
+  const next = {gone: 'live', b: 'live'} as const;
+  assert.deepEqual(offer(3, 7, list(next)), next);
+});
--- a/src/preset/status_types.ts
+++ b/src/preset/status_types.ts
@@ -15,6 +15,7 @@
 export interface DocumentStatus {
   readonly revision: number | null;
   readonly platformVersion: number | null;
+  readonly platformEra: number | null;
   readonly sha256: string | null;
   /** Time since this VM adopted the version, in milliseconds. */
   readonly adoptedAgeMs: number | null;
--- a/src/preset/types.ts
+++ b/src/preset/types.ts
@@ -94,8 +94,13 @@
 export interface DocumentVersion {
   /** Number that operators increment with each publication; 0 for `vms`. */
   readonly revision: number;
-  /** Version that the platform assigned. */
+  /** Version that the platform assigned; counted anew in each era. */
   readonly platformVersion: number;
+  /**
+   * Number of times that the platform was restored from an older copy; 0 if it
+   * does not tell.
+   */
+  readonly platformEra: number;
   /** Hash of the body, 64 hexadecimal digits. */
   readonly sha256: string;
 }
--- a/src/preset/version.ts
+++ b/src/preset/version.ts
@@ -12,7 +12,8 @@
 } from './types.js';
 
 /**
- * Compares two versions: revision, then platform version, then hash.
+ * Compares two versions: revision, then era and version of the platform, then
+ * hash.
  *
  * @param a - first version
  * @param b - second version
@@ -30,6 +31,9 @@
   if (a.revision !== b.revision) {
     return a.revision - b.revision;
   }
+  if (a.platformEra !== b.platformEra) {
+    return a.platformEra - b.platformEra;
+  }
   if (a.platformVersion !== b.platformVersion) {
     return a.platformVersion - b.platformVersion;
   }
@@ -61,6 +65,7 @@
  * @param name - name of the document
  * @param platformVersion - version that the platform assigned
  * @param body - text of the document; it may be malformed
+ * @param platformEra - era of the platform; 0 if it does not tell
  * @returns the document with its version, whose revision is 0 if unreadable
  *
  * @example
@@ -72,11 +77,13 @@
   name: DocumentName,
   platformVersion: number,
   body: string,
+  platformEra = 0,
 ): PublishedDocument {
   const revision = name === 'config' ? readRevision(body) : 0;
+  const sha256 = hashBody(body);
   return {
     name,
-    version: {revision, platformVersion, sha256: hashBody(body)},
+    version: {revision, platformVersion, platformEra, sha256},
     body,
   };
 }
--- a/src/standins/platform_documents.ts
+++ b/src/standins/platform_documents.ts
@@ -8,7 +8,7 @@
 
 /** One published version of a document. */
 export interface Publication {
-  /** Increases by one with each publication of any document. */
+  /** Increases by one with each publication of any document in an era. */
   readonly platformVersion: number;
   readonly body: Buffer;
   /** Instant of the publication, in milliseconds. */
@@ -26,6 +26,33 @@
 export class PlatformDocuments {
   private readonly history = new Map<DocumentName, readonly Publication[]>();
   private lastVersion = 0;
+  private currentEra = 1;
+
+  /** Number of restores so far, plus one. */
+  get era(): number {
+    return this.currentEra;
+  }
+
+  /** Version of the latest publication. */
+  get latestVersion(): number {
+    return this.lastVersion;
+  }
+
+  /**
+   * Returns to an earlier version, in a new era.
+   *
+   * @param platformVersion - latest version to keep
+   */
+  restore(platformVersion: number): void {
+    this.currentEra++;
+    this.lastVersion = Math.min(this.lastVersion, platformVersion);
+    for (const [name, publications] of this.history) {
+      const kept = publications.filter(
+        entry => entry.platformVersion <= platformVersion,
+      );
+      this.history.set(name, kept);
+    }
+  }
 
   /**
    * Publishes a document. Its content is not parsed, as on the platform.
--- a/src/standins/platform_server.ts
+++ b/src/standins/platform_server.ts
@@ -5,7 +5,9 @@
  * `x-platform-version` and the document as body, or 404 before the first
  * publication. With `?after=<version>&waitMs=<n>` the call is a long poll: it
  * waits for a newer version and returns 304 if none is published in time. Reads
- * above the rate limit get 429.
+ * above the rate limit get 429. All responses carry the header
+ * `x-platform-era`; a long poll for a version that the platform does not have,
+ * since it was restored from an older copy, gets 410.
  *
  * Control: `PUT /control/documents/<name>` publishes a document and returns
  * `{"platformVersion": n}`; `POST /control/mode` accepts a
@@ -46,6 +48,7 @@
     .optional(),
   vmsLagMs: z.int().min(0).optional(),
   staleReaders: z.array(z.string()).optional(),
+  restoreTo: z.int().min(0).optional(),
 });
 
 /**
@@ -56,7 +59,7 @@
  * first publication without waiting; `malformed` omits the version header.
  * `vmsLagMs`: minimum age, in milliseconds, at which a VM list becomes visible.
  * `staleReaders`: readers, by `user-agent`, that see only publications made
- * before this command.
+ * before this command. `restoreTo`: drops later versions and begins a new era.
  */
 export type PlatformMode = z.infer<typeof modeSchema>;
 
@@ -168,6 +171,11 @@
       this.staleReaders = mode.staleReaders;
       this.staleSinceMs = this.options.clock.nowMs();
     }
+    if (mode.restoreTo !== undefined) {
+      this.documents.restore(mode.restoreTo);
+      this.pendingWatches.forEach(({response}) => response.destroy());
+      this.pendingWatches.clear();
+    }
     if (this.mode !== 'normal') {
       for (const watch of this.pendingWatches) {
         this.respond(watch.name, watch.after, 0, watch.reader, watch.response);
@@ -249,6 +257,7 @@
     response: ServerResponse,
   ): void {
     const newest = this.newestVisible(name, reader);
+    response.setHeader('x-platform-era', this.documents.era);
     switch (this.mode) {
       case 'outage':
         response.destroy();
@@ -267,6 +276,10 @@
       case 'normal':
         break;
     }
+    if (after > this.documents.latestVersion) {
+      sendJson(response, 410, {error: 'no such version'});
+      return;
+    }
     if (after < 0 || (newest?.platformVersion ?? -1) > after) {
       sendDocument(response, newest);
       return;
--- a/tests/checkers/status_watch.ts
+++ b/tests/checkers/status_watch.ts
@@ -28,11 +28,11 @@
 function toDocumentVersion(
   status: VmStatus['documents']['vms'],
 ): DocumentVersion | null {
-  const {revision, platformVersion, sha256} = status;
+  const {revision, platformVersion, platformEra, sha256} = status;
   if (revision === null || platformVersion === null || sha256 === null) {
     return null;
   }
-  return {revision, platformVersion, sha256};
+  return {revision, platformVersion, platformEra: platformEra ?? 0, sha256};
 }
 
 async function poll(port: string, file: number): Promise<void> {
--- a/tests/checkers/versions.ts
+++ b/tests/checkers/versions.ts
@@ -33,6 +33,9 @@
   if (a.revision !== b.revision) {
     return a.revision < b.revision;
   }
+  if (a.platformEra !== b.platformEra) {
+    return a.platformEra < b.platformEra;
+  }
   if (a.platformVersion !== b.platformVersion) {
     return a.platformVersion < b.platformVersion;
   }
