--- a/src/fleet/fleet_node.ts
+++ b/src/fleet/fleet_node.ts
@@ -13,6 +13,7 @@
 import {assignRoles, type FleetRoles} from './fleet_roles.js';
 import {FleetSizeEstimator} from './fleet_size.js';
 import {MemberDirectory} from './member_directory.js';
+import {Reconciliation} from './reconciliation.js';
 import {StoreReadPolicy} from './store_read_policy.js';
 import type {
   Heartbeat,
@@ -67,13 +68,6 @@
  */
 const JOIN_GRACE_MS = 400;
 
-/**
- * Shortest and longest time between two fetches from peers of the same position
- * that know something else; doubles while they bring nothing new.
- */
-const MIN_RECONCILE_INTERVAL_MS = 250;
-const MAX_RECONCILE_INTERVAL_MS = 16_000;
-
 /** Assumed transit time of a datagram. */
 const ASSUMED_TRANSIT_MS = 1;
 
@@ -114,9 +108,7 @@
   private readFailing = false;
   private ownPosition: StorePosition = {era: 0, revision: 0};
   private digest = '';
-  private nextReconcileMs: InstantMs = -Infinity;
-  private reconcileIntervalMs = MIN_RECONCILE_INTERVAL_MS;
-  private mustReconcile = false;
+  private readonly reconciliation = new Reconciliation();
   private quarantineDigest = 0;
   private confirmedMs: InstantMs = -Infinity;
   private peerConfirmedMs: InstantMs = -Infinity;
@@ -218,7 +210,7 @@
    * this VM may have missed changes that a restored store has lost.
    */
   requestReconciliation(): void {
-    this.mustReconcile = true;
+    this.reconciliation.request();
   }
 
   /**
@@ -227,10 +219,7 @@
    * @param isChanged - true if the fetch changed this VM's state
    */
   onReconciled(isChanged: boolean): void {
-    this.mustReconcile = false;
-    this.reconcileIntervalMs = isChanged
-      ? MIN_RECONCILE_INTERVAL_MS
-      : Math.min(2 * this.reconcileIntervalMs, MAX_RECONCILE_INTERVAL_MS);
+    this.reconciliation.complete(isChanged);
   }
 
   /** Sets the digest of the requests that this VM quarantines. */
@@ -433,15 +422,9 @@
   }
 
   private shouldReconcile(position: KnownPosition, nowMs: InstantMs): boolean {
-    const {revision} = this.ownPosition;
-    const isDifferent =
-      position.digest !== '' &&
-      (this.mustReconcile || position.digest !== this.digest);
-    if (revision === 0 || !isDifferent || nowMs < this.nextReconcileMs) {
-      return false;
-    }
-    this.nextReconcileMs = nowMs + this.reconcileIntervalMs;
-    return true;
+    const hasState = this.ownPosition.revision > 0 && position.digest !== '';
+    const isDigestDifferent = position.digest !== this.digest;
+    return hasState && this.reconciliation.tryBegin(isDigestDifferent, nowMs);
   }
 
   private onHeartbeat(
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -25,6 +25,7 @@
   type ReplicaUpdate,
   type UpdateSource,
 } from './published_replica.js';
+export {Reconciliation} from './reconciliation.js';
 export {
   StoreReadPlan,
   type PlannedRead,
