--- a/src/registry/target_registry.ts
+++ b/src/registry/target_registry.ts
@@ -21,6 +21,9 @@
 /** Time for which a departure is remembered; exceeds the age of a copy. */
 export const DEPARTURE_TTL_MS = 60_000;
 
+/** Interval at which old departures are dropped. */
+const DEPARTURE_CHECK_INTERVAL_MS = 1_000;
+
 /** Most departures that are remembered; the oldest are dropped. */
 const MAX_DEPARTURES = 1_000;
 
@@ -59,6 +62,7 @@
   /** Deadlines of known targets that the store lacks. */
   private readonly missing = new Map<string, InstantMs>();
   private readonly heldDrains = new Set<string>();
+  private nextDepartureCheckMs: InstantMs = -Infinity;
   private changedIds = new Set<string>();
   private cachedDigest: string | undefined;
 
@@ -286,6 +290,13 @@
         this.remove(targetId, era, nowMs);
       }
     }
+    if (nowMs >= this.nextDepartureCheckMs) {
+      this.nextDepartureCheckMs = nowMs + DEPARTURE_CHECK_INTERVAL_MS;
+      this.expireDepartures(nowMs);
+    }
+  }
+
+  private expireDepartures(nowMs: InstantMs): void {
     for (const [targetId, {expiresMs}] of this.departed) {
       if (nowMs >= expiresMs) {
         this.departed.delete(targetId);
