--- a/src/fleet/restored_store_fixture.ts
+++ b/src/fleet/restored_store_fixture.ts
@@ -300,7 +300,10 @@
       return;
     }
     this.wait(vm);
-    this.check(vm);
+    // As in the reader, a check counts only while a wait is pending.
+    if (vm.waitUntilMs > this.nowMs) {
+      this.check(vm);
+    }
   }
 
   private role({node}: ReplicaVm): ReaderRole {
