Do not renew the time of a missing target with each restore

Callers could be sent to a target that had left: with two restores in a row it was kept for 4 s after each.

A target that the previous era lacked too is now kept for the rest of its time, counted in confirmed time of the store.

--- a/src/registry/published_state.ts
+++ b/src/registry/published_state.ts
@@ -7,7 +7,6 @@
 import type {RouteConfig} from '../routes/index.js';
 import {comparePositions} from './store_position.js';
 import {
-  MISSING_TARGET_TTL_MS,
   TargetRegistry,
   type HeldTargetCounts,
   type KnownTarget,
@@ -130,11 +129,10 @@
     for (const departure of snapshot.departures) {
       this.registry.mergeDeparture(departure, nowMs);
     }
-    const missingDeadlineMs = isRestored ? this.missingDeadlineMs() : undefined;
     this.registry.replace(targets, {
       era,
       previousEra: before.era,
-      missingDeadlineMs,
+      newSinceMs: isRestored ? this.eraSinceMs : undefined,
       nowMs,
     });
     if (routes !== undefined) {
@@ -333,15 +331,11 @@
         this.registry.remove(change.targetId, this.currentEra, nowMs);
         return;
       case 'target-missing':
-        this.registry.markMissing(change.targetId, this.missingDeadlineMs());
+        this.registry.markMissing(change.targetId, this.eraSinceMs);
         return;
     }
   }
 
-  private missingDeadlineMs(): InstantMs {
-    return this.eraSinceMs + MISSING_TARGET_TTL_MS;
-  }
-
   /** Records what differs from the last position of the previous era. */
   private describeTransition(
     before: StorePosition,
--- a/src/registry/target_registry.ts
+++ b/src/registry/target_registry.ts
@@ -62,6 +62,7 @@
   /** Deadlines of known targets that the store lacks. */
   private readonly missing = new Map<string, InstantMs>();
   private readonly heldDrains = new Set<string>();
+  private confirmedMs: InstantMs = -Infinity;
   private nextDepartureCheckMs: InstantMs = -Infinity;
   private changedIds = new Set<string>();
   private cachedDigest: string | undefined;
@@ -182,14 +183,20 @@
 
   /**
    * Keeps a known target that the restored store lacks, until it registers
-   * again or the deadline passes.
+   * again or the deadline passes. One that the previous era lacked too is kept
+   * for the rest of its time only.
    *
    * @param targetId - id of the target
-   * @param deadlineMs - instant from which on it counts as gone
+   * @param eraSinceMs - instant since which the era is known
    */
-  markMissing(targetId: string, deadlineMs: InstantMs): void {
+  markMissing(targetId: string, eraSinceMs: InstantMs): void {
     if (this.known.has(targetId)) {
-      this.missing.set(targetId, deadlineMs);
+      const deadlineMs = this.missing.get(targetId) ?? Infinity;
+      const remainingMs = Math.max(0, deadlineMs - this.confirmedMs);
+      this.missing.set(
+        targetId,
+        eraSinceMs + Math.min(remainingMs, MISSING_TARGET_TTL_MS),
+      );
       this.heldDrains.delete(targetId);
       this.cachedDigest = undefined;
     }
@@ -200,19 +207,19 @@
    *
    * @param targets - targets of the snapshot
    * @param options - `era`: era of the snapshot; `previousEra`: era before it;
-   *     `missingDeadlineMs`: if the era is new, the deadline of targets that it
-   *     lacks; `nowMs`: current instant in milliseconds
+   *     `newSinceMs`: if the era is new, the instant since which it is known;
+   *     `nowMs`: current instant in milliseconds
    */
   replace(
     targets: readonly RegisteredTarget[],
     options: {
       readonly era: StoreEra;
       readonly previousEra: StoreEra;
-      readonly missingDeadlineMs: InstantMs | undefined;
+      readonly newSinceMs: InstantMs | undefined;
       readonly nowMs: InstantMs;
     },
   ): void {
-    const {era, previousEra, missingDeadlineMs, nowMs} = options;
+    const {era, previousEra, newSinceMs, nowMs} = options;
     const listedIds = new Set(targets.map(({targetId}) => targetId));
     const copiedRevision = this.findCopiedRevision(targets);
     for (const {targetId, revision, draining} of this.known.values()) {
@@ -220,7 +227,7 @@
         continue;
       }
       const isMissing = this.missing.has(targetId);
-      if (missingDeadlineMs === undefined) {
+      if (newSinceMs === undefined) {
         if (!isMissing) {
           this.remove(targetId, era, nowMs);
         }
@@ -230,7 +237,7 @@
       } else if (draining) {
         this.remove(targetId, previousEra, nowMs);
       } else {
-        this.markMissing(targetId, missingDeadlineMs);
+        this.markMissing(targetId, newSinceMs);
       }
     }
     for (const targetId of this.suppressed.keys()) {
@@ -285,6 +292,7 @@
    * @param nowMs - current instant in milliseconds
    */
   expire(era: StoreEra, confirmedMs: InstantMs, nowMs: InstantMs): void {
+    this.confirmedMs = confirmedMs;
     for (const [targetId, deadlineMs] of this.missing) {
       if (confirmedMs >= deadlineMs) {
         this.remove(targetId, era, nowMs);
