Leave targets alone that announce a drain in their responses

Callers' requests still reached a target that had told the VM in an answer that it leaves (DRAIN). Cause: the platform's adapter never read the header, so only the store's news ended the use of a target; a VM that hears neither store nor peers went on.

Now every response is read: served, refused, failed, of probes, and of requests whose caller has gone. The notice holds for the start of the target that was addressed, so a new start under the same id and an address that is used again are free of it, and a store that is behind or restored does not undo it. An attempt that still waits for a connection is withdrawn. Heads pass notices on as facts with the start of the target, and repeat them for 10 s.

Weighed: keeping the notice in the registry of targets (its merge over restored stores orders by the store's own report counts, which a response does not have); asking the store at once (out of reach in the case that matters); a time-out of the notice (a draining target may serve for long, and nothing but a new start says that it is back).

--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -11,6 +11,8 @@
 export interface DeliveryAttempt {
   readonly token: string;
   readonly targetId: string;
+  /** Start of the target to which the attempt was sent. */
+  readonly targetStartedMs: number;
   readonly startedMs: InstantMs;
   /** Forecast duration at the start of the attempt, in milliseconds. */
   readonly expectedMs: number;
--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -413,6 +413,7 @@
     const attempt: DeliveryAttempt = {
       token,
       targetId: forecast.targetId,
+      targetStartedMs: target.startedMs,
       startedMs: nowMs,
       expectedMs: forecast.durationMs,
       slowness: forecast.slowness,
@@ -453,7 +454,8 @@
     attempt: DeliveryAttempt,
     nowMs: InstantMs,
   ): void {
-    if (delivery.isClosed || nowMs >= delivery.expiresAtMs) {
+    const isTooLate = delivery.isClosed || nowMs >= delivery.expiresAtMs;
+    if (isTooLate || this.options.board.isDraining(attempt.targetId)) {
       this.effects.push({type: 'cancel', token: attempt.token});
       return;
     }
@@ -503,6 +505,9 @@
     if (signal.limit !== undefined && signal.misdirected !== true) {
       targetLimits.onStatement(targetId, signal.limit, nowMs);
     }
+    if (signal.draining && signal.misdirected !== true) {
+      this.onDrainNotice(attempt, nowMs);
+    }
     if (signal.refused) {
       attempt.verdict = 'not-run';
       delivery.lastFailure = 'refused';
@@ -528,6 +533,15 @@
     }
   }
 
+  /** Records that the target announced its drain with a response. */
+  private onDrainNotice(
+    {targetId, targetStartedMs: startedMs}: DeliveryAttempt,
+    nowMs: InstantMs,
+  ): void {
+    const notice = {targetId, startedMs, source: 'response'} as const;
+    this.options.board.onDrainNotice({...notice, sinceMs: nowMs});
+  }
+
   /** Forwards a server error unless another attempt is open or allowed. */
   private onServerError(
     delivery: Delivery,
--- a/src/delivery/delivery_engine_test.ts
+++ b/src/delivery/delivery_engine_test.ts
@@ -309,6 +309,50 @@
   assert.equal(harness.sends.length, 3);
 });
 
+test('a target that announces its drain in any response gets no further request', () => {
+  // Guards against drains that are read from successful responses only.
+  const harness = new Harness({targets: 2});
+  const refusing = {...answer(503, true), draining: true} as AttemptSignal;
+  harness.request(UNSAFE);
+  const [first] = harness.sends;
+  harness.endAttempt(first, refusing);
+  harness.endAttempt(harness.sends[1], answer(200));
+  // The target no longer counts as failing.
+  harness.advance(20_000);
+  for (let i = 0; i < 5; i += 1) {
+    harness.request(SAFE);
+    assert.notEqual(harness.sends.at(-1)!.targetId, first!.targetId);
+    harness.endAttempt(harness.sends.at(-1), answer(200));
+  }
+});
+
+test('the response of another target at an address drains nothing', () => {
+  // Guards against targets that are left alone on the word of another one.
+  const harness = new Harness({targets: 1});
+  harness.request(UNSAFE);
+  const misdirected = {
+    ...answer(421, true),
+    draining: true,
+    misdirected: true,
+  } as AttemptSignal;
+  harness.endAttempt(harness.sends[0], misdirected);
+  assert.ok(!harness.board.isDraining('x0'));
+});
+
+test('an attempt that waits for a connection is not sent to a target that drains', () => {
+  // Guards against requests that reach a target after its announcement.
+  const harness = new Harness({targets: 2});
+  harness.request(UNSAFE);
+  const [waiting] = harness.sends;
+  const {targetId} = waiting!;
+  const notice = {targetId, startedMs: 1, source: 'peer', sinceMs: 0} as const;
+  harness.board.onDrainNotice(notice);
+  harness.signal(waiting!.token, {type: 'sent'});
+  assert.deepEqual(harness.cancelled, [waiting!.token]);
+  harness.signal(waiting!.token, {type: 'cancelled', bytesSent: false});
+  assert.notEqual(harness.sends[1]!.targetId, targetId);
+});
+
 test('the status after the route timeout is 504 if sent, 503 if not', () => {
   // Guards against callers that wait past the timeout, and against false
   // verdicts.
--- a/src/entry/composition_root.ts
+++ b/src/entry/composition_root.ts
@@ -19,6 +19,7 @@
 import {TargetClient, type TargetProtocol} from '../target_http/index.js';
 import {INITIAL_LIMITS} from './caller_limits.js';
 import {DeliveryRunner} from './delivery_runner.js';
+import {DrainSharing} from './drain_sharing.js';
 import {EntryDaemon} from './entry_daemon.js';
 import {EntryMetrics} from './entry_metrics.js';
 import {EventLogger} from './event_logger.js';
@@ -86,6 +87,7 @@
         prober: get(TargetProber),
         sharing: get(LoadSharing),
         limitSharing: get(LimitSharing),
+        drainSharing: get(DrainSharing),
         reader: get(PublishedReader),
         link: get(DatagramLink),
         published: get(PublishedServer),
@@ -231,6 +233,12 @@
         linkMbitPerSecond,
       }),
   );
+  container
+    .bind(DrainSharing)
+    .toDynamicValue(
+      ({get}) =>
+        new DrainSharing({fleet: get(FleetNode), board: get(LoadBoard)}),
+    );
   container.bind(LimitSharing).toDynamicValue(({get}) => {
     const sharing = get(LoadSharing);
     return new LimitSharing({
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -36,6 +36,7 @@
 import type {DeliveryRunner} from './delivery_runner.js';
 import type {EntryMetrics} from './entry_metrics.js';
 import type {EventLogger} from './event_logger.js';
+import type {DrainSharing} from './drain_sharing.js';
 import type {LimitSharing} from './limit_sharing.js';
 import type {LoadSharing} from './load_sharing.js';
 import type {PublishedReader, ReaderListener} from './published_reader.js';
@@ -108,6 +109,7 @@
   readonly prober: TargetProber;
   readonly sharing: LoadSharing;
   readonly limitSharing: LimitSharing;
+  readonly drainSharing: DrainSharing;
   readonly reader: PublishedReader;
   readonly link: DatagramLink;
   readonly published: PublishedServer;
@@ -150,7 +152,7 @@
   async start(): Promise<void> {
     const {settings, fleet, callers, link, published, status} = this.parts;
     const {log, metrics, engine, targets, state, reader, clock} = this.parts;
-    const {quarantine} = this.parts;
+    const {quarantine, board} = this.parts;
     fleet.setSeeds(settings.seedHosts);
     metrics.registerGauges({
       openRequests: () => engine.openCount,
@@ -162,6 +164,7 @@
       heldTargetCounts: () => state.heldTargetCounts,
       storeCalls: () => reader.callCount,
       quarantinedRequests: () => quarantine.quarantinedCount(clock.nowMs()),
+      avoidedTargets: () => board.avoidedTargets(clock.nowMs()),
       confirmationAgeMs: () =>
         Math.min(fleet.confirmationAgeMs(clock.nowMs()), 1e9),
     });
@@ -214,12 +217,13 @@
 
   /** Handles a message of a peer. */
   onMessage(message: FleetMessage): void {
-    const {fleet, sharing, limitSharing, clock} = this.parts;
+    const {fleet, sharing, limitSharing, drainSharing, clock} = this.parts;
     const nowMs = clock.nowMs();
     const {update, dispatches} = fleet.onMessage(message, nowMs);
     this.sendAll(dispatches);
     this.sendAll(sharing.onMessage(message, nowMs));
     limitSharing.onMessage(message, nowMs);
+    drainSharing.onMessage(message, nowMs);
     if (message.type === 'load' || message.type === 'limit-grants') {
       this.parts.runner.feed(inputMs =>
         this.parts.engine.onTargetsChanged(inputMs),
@@ -314,6 +318,7 @@
     const work = sharing.onTick(state.targets, nowMs);
     this.sendAll(work.dispatches);
     this.shareLimits(nowMs);
+    this.shareDrains(nowMs);
     work.probes.forEach(target => prober.probe(target));
     this.tickCount += 1;
     if (this.tickCount % CONNECTION_CHECK_TICKS === 0) {
@@ -355,6 +360,16 @@
     }
   }
 
+  private shareDrains(nowMs: number): void {
+    const {drainSharing, state, log} = this.parts;
+    const {dispatches, added} = drainSharing.onTick(state.targets, nowMs);
+    this.sendAll(dispatches);
+    for (const {targetId, source, sinceMs} of added) {
+      const ageMs = Math.round(nowMs - sinceMs);
+      log.info('targets', 'target drains', {targetId, source, ageMs});
+    }
+  }
+
   private logLimits(nowMs: number): void {
     const {limits, log, metrics} = this.parts;
     for (const {targetId, perSecond} of limits.onTick(nowMs)) {
--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {AvoidedTarget} from '../load/index.js';
 import type {HeldTargetCounts} from '../registry/index.js';
 
 /** Bucket bounds of the answer time histogram, in seconds. */
@@ -18,6 +19,7 @@
   readonly storeEra: () => number;
   readonly routesVersion: () => number;
   readonly heldTargetCounts: () => HeldTargetCounts;
+  readonly avoidedTargets: () => readonly AvoidedTarget[];
   readonly confirmationAgeMs: () => number;
   readonly storeCalls: () => number;
   readonly quarantinedRequests: () => number;
@@ -118,6 +120,7 @@
       sources.routesVersion,
     );
     this.registerHeldTargets(sources.heldTargetCounts);
+    this.registerAvoidedTargets(sources.avoidedTargets);
     this.gauge('store_calls', 'Calls of the store', sources.storeCalls);
     this.gauge(
       'quarantined_requests',
@@ -146,6 +149,21 @@
     });
   }
 
+  private registerAvoidedTargets(read: () => readonly AvoidedTarget[]): void {
+    new Gauge({
+      name: 'sycamorepitch_avoided_target',
+      help: 'Targets that this VM leaves alone, and why',
+      labelNames: ['target', 'reason'],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const {targetId, reason} of read()) {
+          this.set({target: targetId, reason}, 1);
+        }
+      },
+    });
+  }
+
   /** Renders all metrics in the Prometheus text format. */
   render(): Promise<string> {
     return this.registry.metrics();
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -5,6 +5,7 @@
  */
 export {BufferedOutput} from './buffered_output.js';
 export {composeEntry, type EntryOptions} from './composition_root.js';
+export {DrainSharing, type DrainSharingOptions} from './drain_sharing.js';
 export {EntryDaemon} from './entry_daemon.js';
 export {LimitSharing, type LimitSharingOptions} from './limit_sharing.js';
 export {LoadSharing, type LoadSharingOptions} from './load_sharing.js';
--- a/src/entry/load_sharing.ts
+++ b/src/entry/load_sharing.ts
@@ -375,9 +375,11 @@
     targets: ReadonlyMap<string, KnownTarget>,
     nowMs: InstantMs,
   ): readonly KnownTarget[] {
-    const {failureDomain, maxProbesPerSecond} = this.options;
+    const {board, failureDomain, maxProbesPerSecond} = this.options;
     const probed = [...targets.values()].filter(
-      target => target.failureDomain === failureDomain && !target.draining,
+      target =>
+        target.failureDomain === failureDomain &&
+        !board.isDraining(target.targetId),
     );
     const intervalMs = Math.max(
       PROBE_INTERVAL_MS,
--- a/src/entry/peer_message_fuzz_test.ts
+++ b/src/entry/peer_message_fuzz_test.ts
@@ -77,6 +77,11 @@
     implications: [{fingerprint: 'f', targetId: 'x', remainingMs: 9_000}],
     clearedFingerprints: ['g'],
   },
+  {
+    type: 'drains',
+    sender: SENDER,
+    drains: [{targetId: 'x', startedMs: 1, ageMs: 40}],
+  },
   {
     type: 'limit-report',
     sender: SENDER,
--- a/src/entry/target_prober.ts
+++ b/src/entry/target_prober.ts
@@ -61,7 +61,7 @@
    * @param onDone - called when the probe has succeeded or failed
    */
   probe(target: KnownTarget, onDone?: () => void): void {
-    const {targetId, host, port, service} = target;
+    const {targetId, startedMs, host, port, service} = target;
     const path = this.options.routes()?.service(service)?.healthPath;
     if (path === undefined) {
       onDone?.();
@@ -102,6 +102,10 @@
         this.pendingCallbacks.delete(targetId);
         response?.discard();
         const nowMs = clock.nowMs();
+        if (signal.type === 'response' && signal.draining) {
+          const notice = {targetId, startedMs, source: 'probe'} as const;
+          board.onDrainNotice({...notice, sinceMs: nowMs});
+        }
         if (signal.type !== 'response') {
           board.onProbed(targetId, false, nowMs);
         } else if (signal.figures !== undefined) {
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -117,6 +117,22 @@
   readonly clearedFingerprints: readonly string[];
 }
 
+/** Drain that a target has announced, as reported by a VM. */
+export interface ReportedDrain {
+  readonly targetId: string;
+  /** Distinguishes starts of the target under its id. */
+  readonly startedMs: number;
+  /** Time since the target announced it. */
+  readonly ageMs: number;
+}
+
+/** Drains that targets have announced in their responses. */
+export interface Drains {
+  readonly type: 'drains';
+  readonly sender: ReportedMember;
+  readonly drains: readonly ReportedDrain[];
+}
+
 /** Limit that a target names, as reported by a VM. */
 export interface ReportedLimit {
   readonly targetId: string;
@@ -150,7 +166,13 @@
 
 /** Union of all messages between VMs. */
 export type FleetMessage =
-  Heartbeat | Changes | LoadTable | OutcomeReport | LimitReport | LimitGrants;
+  | Heartbeat
+  | Changes
+  | LoadTable
+  | OutcomeReport
+  | Drains
+  | LimitReport
+  | LimitGrants;
 
 /** A message with the hosts to send it to. */
 export interface Dispatch {
--- a/src/load/index.ts
+++ b/src/load/index.ts
@@ -19,5 +19,10 @@
 export {LoadBoard, type LoadBoardOptions} from './load_board.js';
 export {SLOW_THRESHOLD, SpeedStatistics} from './speed_statistics.js';
 export {TargetRecord} from './target_record.js';
-export type {LoadReport, TargetForecast, TargetOutcome} from './types.js';
+export type {
+  AvoidedTarget,
+  LoadReport,
+  TargetForecast,
+  TargetOutcome,
+} from './types.js';
 export {WorkEstimate} from './work_estimate.js';
--- a/src/load/load_board.ts
+++ b/src/load/load_board.ts
@@ -5,13 +5,19 @@
  */
 import type {InstantMs} from '../core/index.js';
 import type {OutcomeCount, TargetLoadReport} from '../fleet/index.js';
+import {DrainNotices, type DrainNotice} from '../health/index.js';
 import type {ServiceLoad} from '../limits/index.js';
 import type {KnownTarget} from '../registry/index.js';
 import {expectedDurationMs, SPEED_PERIOD_MS} from './forecast.js';
 import {SLOW_THRESHOLD, SpeedStatistics} from './speed_statistics.js';
 import {TargetRecord} from './target_record.js';
 import {selectSubset, subsetRank} from './target_subset.js';
-import type {LoadReport, TargetForecast, TargetOutcome} from './types.js';
+import type {
+  AvoidedTarget,
+  LoadReport,
+  TargetForecast,
+  TargetOutcome,
+} from './types.js';
 
 /** Mean slowness before the first report. */
 const INITIAL_MEAN_SLOWNESS = 1.3;
@@ -54,6 +60,7 @@
   private byService = new Map<string, ServiceTargets>();
   private usedTargetIds: ReadonlySet<string> = new Set();
   private readonly meanLoadShares = new Map<string, number>();
+  private readonly notices = new DrainNotices();
   private readonly speeds = new SpeedStatistics();
   private meanSpeed = 1 / INITIAL_MEAN_SLOWNESS;
 
@@ -84,7 +91,39 @@
         record.register(target);
       }
     }
-    this.divideServices();
+    this.applyDrainNotices();
+  }
+
+  /** Notices of targets that drain, oldest first. */
+  get drainNotices(): readonly DrainNotice[] {
+    return this.notices.all;
+  }
+
+  /**
+   * Records that a target has announced a drain.
+   *
+   * @param notice - notice of the target, or of a peer about it
+   * @returns true unless it was known
+   */
+  onDrainNotice(notice: DrainNotice): boolean {
+    const isNew = this.notices.record(notice);
+    if (isNew) {
+      this.applyDrainNotices();
+    }
+    return isNew;
+  }
+
+  /** Drops notices that are no longer needed. */
+  pruneDrainNotices(
+    targets: ReadonlyMap<string, KnownTarget>,
+    nowMs: InstantMs,
+  ): void {
+    this.notices.prune(targets, nowMs);
+  }
+
+  /** Returns whether a target drains, by its registration or its own word. */
+  isDraining(targetId: string): boolean {
+    return this.records.get(targetId)?.isDraining ?? false;
   }
 
   /**
@@ -107,6 +146,16 @@
     return this.targetsOf(service).records.map(({target}) => target);
   }
 
+  /** Lists the registered targets that this VM leaves alone. */
+  avoidedTargets(nowMs: InstantMs): readonly AvoidedTarget[] {
+    return [...this.records.values()].flatMap(record => {
+      const reason = record.avoidedReason(nowMs);
+      return record.isRegistered && reason !== undefined
+        ? [{targetId: record.target.targetId, reason}]
+        : [];
+    });
+  }
+
   /** Returns whether this VM may send requests to a target. */
   isUsed(targetId: string): boolean {
     return this.usedTargetIds.has(targetId);
@@ -269,6 +318,13 @@
     return this.byService.get(service) ?? NO_TARGETS;
   }
 
+  private applyDrainNotices(): void {
+    for (const record of this.records.values()) {
+      record.setDrainNotice(this.notices.covers(record.target));
+    }
+    this.divideServices();
+  }
+
   private divideServices(): void {
     const {failureDomain} = this.options;
     const eligible = new Map<string, TargetRecord[]>();
--- a/src/load/target_record.ts
+++ b/src/load/target_record.ts
@@ -7,7 +7,7 @@
 import type {OutcomeCount, TargetLoadReport} from '../fleet/index.js';
 import type {KnownTarget} from '../registry/index.js';
 import {FailureShare} from './failure_share.js';
-import type {LoadReport, TargetOutcome} from './types.js';
+import type {AvoidedTarget, LoadReport, TargetOutcome} from './types.js';
 
 /** Time for which starts and ends of attempts of this VM are kept. */
 const OWN_HISTORY_MS = 1_500;
@@ -31,6 +31,7 @@
 export class TargetRecord {
   private registration: KnownTarget;
   private isListed = true;
+  private hasDrainNotice = false;
   private ownCount = 0;
   private inFlightChanges: InFlightChange[] = [];
   private report: LoadReport | undefined;
@@ -63,7 +64,12 @@
 
   /** True if the target may receive requests. */
   get isEligible(): boolean {
-    return this.isListed && !this.registration.draining;
+    return this.isListed && !this.isDraining;
+  }
+
+  /** True if the target drains, by its registration or its own word. */
+  get isDraining(): boolean {
+    return this.registration.draining || this.hasDrainNotice;
   }
 
   /** Open attempts of this VM at the target. */
@@ -93,6 +99,11 @@
     this.isListed = false;
   }
 
+  /** Sets whether the registered start has announced that it drains. */
+  setDrainNotice(hasNotice: boolean): void {
+    this.hasDrainNotice = hasNotice;
+  }
+
   /** Records the start of an attempt. */
   onSent(nowMs: InstantMs): void {
     this.ownCount += 1;
@@ -183,6 +194,17 @@
     return Math.max(this.ownCount, expected);
   }
 
+  /** Returns why this VM leaves the target alone; undefined if it does not. */
+  avoidedReason(nowMs: InstantMs): AvoidedTarget['reason'] | undefined {
+    if (this.registration.draining) {
+      return 'draining';
+    }
+    if (this.hasDrainNotice) {
+      return 'announced-drain';
+    }
+    return this.isReachable(nowMs) ? undefined : 'unreachable';
+  }
+
   /** Returns the probability that an attempt fails, 0 to 1. */
   failureShare(nowMs: InstantMs): number {
     const share = this.failures.share(nowMs);
--- a/src/load/types.ts
+++ b/src/load/types.ts
@@ -52,3 +52,13 @@
   /** Expected time from sending to the response if it has become slow. */
   readonly slowedDurationMs: number;
 }
+
+/** Target that a VM leaves alone, and why. */
+export interface AvoidedTarget {
+  readonly targetId: string;
+  /**
+   * `draining`: by its registration; `announced-drain`: by its own responses;
+   * `unreachable`: no connection could be opened lately.
+   */
+  readonly reason: 'draining' | 'announced-drain' | 'unreachable';
+}
--- a/src/peer_datagram/fleet_codec.ts
+++ b/src/peer_datagram/fleet_codec.ts
@@ -100,6 +100,14 @@
         message.implications.map(packImplication),
         message.clearedFingerprints,
       ];
+    case 'drains':
+      return [
+        message.drains.map(({targetId, startedMs, ageMs}) => [
+          targetId,
+          startedMs,
+          ageMs,
+        ]),
+      ];
     case 'limit-report':
       return [
         packPeak(message.reporterPeak),
@@ -151,6 +159,16 @@
         implications: reader.array(unpackImplication),
         clearedFingerprints: reader.optionalStrings(),
       };
+    case 'drains':
+      return {
+        type,
+        sender,
+        drains: reader.array(each => ({
+          targetId: each.string(),
+          startedMs: each.count(),
+          ageMs: each.count(),
+        })),
+      };
     case 'limit-report':
       return {
         type,
--- a/src/peer_datagram/fleet_codec_test.ts
+++ b/src/peer_datagram/fleet_codec_test.ts
@@ -147,6 +147,14 @@
     ),
     clearedFingerprints: fc.array(text, {maxLength: 4}),
   }),
+  fc.record({
+    type: fc.constant('drains' as const),
+    sender: member,
+    drains: fc.array(
+      fc.record({targetId: text, startedMs: count, ageMs: count}),
+      {maxLength: 4},
+    ),
+  }),
   fc.record({
     type: fc.constant('limit-report' as const),
     sender: member,
