--- a/bench/delivery_model.ts
+++ b/bench/delivery_model.ts
@@ -15,6 +15,7 @@
 import {RequestGrants, TargetLimits} from '../src/limits/index.js';
 import {LoadBoard} from '../src/load/index.js';
 import {ProbeTokenBucket} from '../src/probing/index.js';
+import {RelayPolicy} from '../src/relay/index.js';
 import {FingerprintQuarantine} from '../src/recovery/index.js';
 import type {KnownTarget} from '../src/registry/index.js';
 import {knownTarget} from '../src/registry/target_fixture.js';
@@ -392,6 +393,7 @@
       random: new SeededRandom({seed: scenario.seed + index + 1}),
       targetLimits: new TargetLimits(),
       grants: new RequestGrants(new TargetLimits()),
+      relays: RelayPolicy.withoutPeers(new SeededRandom({seed: 1})),
       resendLimit: {ratio: 0.2, allowance: 75, windowMs: 10_000},
       fleetSize: () => scenario.vmCount,
       takeProbes: (count, nowMs) =>
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,6 +21,7 @@
   'fleet',
   'load',
   'delivery',
+  'relay',
 ];
 
 /** The folder of the users' platform is for the program's entry point only. */
--- a/src/caller_http/caller_server.ts
+++ b/src/caller_http/caller_server.ts
@@ -58,6 +58,8 @@
   readonly limits: CallerLimits;
   readonly protocol: CallerProtocol<R>;
   readonly listener: CallerListener<R>;
+  /** Begin of the ids of requests; 'r' by default. */
+  readonly requestIdPrefix?: string;
 }
 
 /**
@@ -323,7 +325,8 @@
     if (requestIds === undefined || request.socket.destroyed) {
       return;
     }
-    const requestId = `r${++this.requestCount}`;
+    const prefix = this.options.requestIdPrefix ?? 'r';
+    const requestId = `${prefix}${++this.requestCount}`;
     const exchange = new Exchange(
       parts.build({requestId, body}),
       endToEndHeaders(request.headers, protocol.requestHeadersDropped),
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -21,6 +21,10 @@
   sentMs: InstantMs | undefined;
   verdict: Verdict;
   isOpen: boolean;
+  /** Peer that carries the request; undefined for an attempt at a target. */
+  readonly peerHost: string | undefined;
+  /** Targets that the attempt may be sent to; 1 unless a peer carries it. */
+  readonly targetCount: number;
 }
 
 /** State of a request until it is answered and all its attempts have ended. */
@@ -45,6 +49,16 @@
   /** Token of a server error to forward if no better response arrives. */
   errorToken: string | undefined;
   lastFailure: 'none' | 'unreachable' | 'refused' | 'lost' = 'none';
+  /** Peers that have refused the request or could not be reached. */
+  readonly triedPeerHosts: string[] = [];
+  /** Targets that could not be reached. */
+  unreachableCount = 0;
+  /** Whether the request is counted for the retry budget, here or at a peer. */
+  isCounted: boolean;
+  /** Whether the request is counted as demand for limited targets. */
+  isDemandCounted = false;
+  /** Targets that the request may be sent to. */
+  readonly maxAttempts: number;
 
   constructor(
     readonly request: RoutedRequest,
@@ -59,6 +73,12 @@
     this.expiresAtMs = Math.min(routeEndMs, this.deadlineMs);
     this.objectiveAtMs = arrivedMs + rule.objectiveMs;
     this.waitUntilMs = arrivedMs + options.maxWaitMs;
+    const {relay} = request;
+    this.isCounted = relay?.isCounted ?? false;
+    this.maxAttempts = Math.min(
+      rule.maxAttempts,
+      relay?.maxAttempts ?? Infinity,
+    );
   }
 
   /** Attempts that have not ended. */
@@ -66,9 +86,16 @@
     return this.attempts.filter(({isOpen}) => isOpen);
   }
 
-  /** Number of attempts of which at least one byte was sent. */
+  /** Number of targets that may have received the request. */
   get sentCount(): number {
-    return this.attempts.filter(({sentMs}) => sentMs !== undefined).length;
+    return this.attempts.reduce(
+      (sum, {sentMs, peerHost, verdict, targetCount}) =>
+        sentMs === undefined ||
+        (peerHost !== undefined && verdict === 'not-run')
+          ? sum
+          : sum + targetCount,
+      0,
+    );
   }
 
   /** Combined verdict of all attempts: whether the request may have run. */
--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type {InstantMs, RandomSource} from '../core/index.js';
+import type {InstantMs, RandomSource, Verdict} from '../core/index.js';
 import type {AttemptSignal} from '../engine/index.js';
 import type {
   LoadBoard,
@@ -13,6 +13,7 @@
 } from '../load/index.js';
 import type {RequestGrants, TargetLimits} from '../limits/index.js';
 import {RequestQuarantine, type CrashQuarantine} from '../recovery/index.js';
+import type {RelayOutcome, RelayPolicy} from '../relay/index.js';
 import type {WindowLimit} from '../retries/index.js';
 import {WeightedSplit, type RouteTable} from '../routes/index.js';
 import {Delivery, type DeliveryAttempt} from './delivery.js';
@@ -22,6 +23,7 @@
   clearedEvent,
   implicatedEvent,
   refuseEvent,
+  relayEvent,
   sendEvent,
   violationEvent,
 } from './delivery_events.js';
@@ -71,6 +73,7 @@
   readonly resendLimit: WindowLimit;
   readonly targetLimits: TargetLimits;
   readonly grants: RequestGrants;
+  readonly relays: RelayPolicy;
   /** Returns an upper bound of the number of VMs. */
   readonly fleetSize: (nowMs: InstantMs) => number;
   /** Takes all probes from the probe budget, or none and returns false. */
@@ -187,6 +190,9 @@
     if (this.isRefusingAll) {
       return this.refuseOnArrival(request, 'leaving');
     }
+    if (table.version < (request.relay?.routesVersion ?? 0)) {
+      return this.refuseOnArrival(request, 'outdated-routes');
+    }
     const service = this.split.next(rule, this.options.random.nextFloat());
     if (service === undefined) {
       return this.refuseOnArrival(request, 'no-target');
@@ -198,8 +204,6 @@
       maxWaitMs: this.selection.maxWaitMs(rule),
     });
     this.deliveries.set(request.requestId, delivery);
-    this.limits.onRequest(service, nowMs);
-    this.options.grants.onRequest(service, nowMs);
     this.dispatch(delivery, nowMs);
     return this.takeEffects();
   }
@@ -344,6 +348,10 @@
       this.refuse(delivery, 'quarantined', nowMs);
       return;
     }
+    if (this.relay(delivery, nowMs)) {
+      return;
+    }
+    this.countDirect(delivery, nowMs);
     const forecasts = this.selection.forecasts(delivery, nowMs);
     if (forecasts.length === 0 && !this.selection.hasUntried(delivery)) {
       this.giveUp(delivery, 'no-target', nowMs);
@@ -367,9 +375,104 @@
     }
   }
 
+  /**
+   * Passes a request to a peer, or gives it up, if this VM reaches no target.
+   *
+   * @returns false if the request takes the direct way
+   */
+  private relay(delivery: Delivery, nowMs: InstantMs): boolean {
+    const {relays} = this.options;
+    if (delivery.request.relay !== undefined) {
+      // A relayed request must not be passed on once more.
+      if (relays.reachability.isCutOff) {
+        this.giveUp(delivery, 'cut-off', nowMs);
+      }
+      return delivery.isClosed;
+    }
+    if (delivery.sentCount >= delivery.maxAttempts) {
+      return false;
+    }
+    const decision = relays.decide(
+      {
+        unreachableCount: delivery.unreachableCount,
+        triedHosts: delivery.triedPeerHosts,
+      },
+      nowMs,
+    );
+    if (decision.type === 'send-directly') {
+      return false;
+    }
+    if (decision.type === 'give-up') {
+      this.giveUp(delivery, 'cut-off', nowMs);
+    } else if (!this.canFinishWithin(this.workMsOf(delivery), nowMs)) {
+      this.giveUp(delivery, 'leaving', nowMs);
+    } else {
+      this.sendToPeer(delivery, decision.host, nowMs);
+    }
+    return true;
+  }
+
+  /** Counts a request that this VM itself sends to a target. */
+  private countDirect(delivery: Delivery, nowMs: InstantMs): void {
+    if (!delivery.isCounted) {
+      delivery.isCounted = true;
+      this.limits.onRequest(delivery.service, nowMs);
+    }
+    if (!delivery.isDemandCounted) {
+      delivery.isDemandCounted = true;
+      this.options.grants.onRequest(delivery.service, nowMs);
+    }
+  }
+
+  private sendToPeer(delivery: Delivery, host: string, nowMs: InstantMs): void {
+    const {request, rule} = delivery;
+    this.tokenCount += 1;
+    const token = `t${this.tokenCount}`;
+    const targetCount = delivery.maxAttempts - delivery.sentCount;
+    const attempt: DeliveryAttempt = {
+      token,
+      targetId: `vm ${host}`,
+      targetStartedMs: 0,
+      startedMs: nowMs,
+      expectedMs: this.workMsOf(delivery),
+      slowness: 1,
+      sentMs: undefined,
+      verdict: 'not-run',
+      isOpen: true,
+      peerHost: host,
+      targetCount,
+    };
+    delivery.attempts.push(attempt);
+    delivery.hedgeCheckAtMs = Infinity;
+    this.deliveriesByToken.set(token, delivery);
+    this.options.relays.peers.onStarted(host);
+    const routesVersion = this.table?.version ?? 0;
+    const {isCounted} = delivery;
+    this.effects.push({
+      type: 'relay',
+      token,
+      requestId: request.requestId,
+      host,
+      freshness: rule.idempotent ? 'any' : 'proven',
+      deadlineMs: delivery.expiresAtMs,
+      terms: {maxAttempts: targetCount, isCounted, routesVersion},
+    });
+    // The peer counts the request; a second peer must not count it again.
+    delivery.isCounted = true;
+    this.log(relayEvent(delivery, attempt, nowMs));
+  }
+
+  private workMsOf({rule}: Delivery): number {
+    return this.statistics.of(rule).work.workMs;
+  }
+
   /** Returns whether a response is expected before the end of a stop. */
   private canFinish({forecast}: TargetChoice, nowMs: InstantMs): boolean {
-    return nowMs + forecast.durationMs * STOP_MARGIN_FACTOR < this.endsAtMs;
+    return this.canFinishWithin(forecast.durationMs, nowMs);
+  }
+
+  private canFinishWithin(durationMs: number, nowMs: InstantMs): boolean {
+    return nowMs + durationMs * STOP_MARGIN_FACTOR < this.endsAtMs;
   }
 
   /** Probes the best targets with outdated load; false if none is probed. */
@@ -420,6 +523,8 @@
       sentMs: undefined,
       verdict: 'not-run',
       isOpen: true,
+      peerHost: undefined,
+      targetCount: 1,
     };
     delivery.attempts.push(attempt);
     delivery.triedTargetIds.push(forecast.targetId);
@@ -471,13 +576,18 @@
   ): void {
     attempt.isOpen = false;
     this.deliveriesByToken.delete(attempt.token);
-    const outcome = outcomeOf(signal);
-    this.options.board.onEnded(attempt.targetId, outcome, nowMs);
+    if (attempt.peerHost !== undefined) {
+      this.onRelayEnded(delivery, attempt, signal, nowMs);
+      this.deleteIfDone(delivery);
+      return;
+    }
+    this.recordOutcome(attempt, signal, nowMs);
     if (signal.type === 'response') {
       this.onResponse(delivery, attempt, signal, nowMs);
     } else if (signal.type === 'unreachable') {
       attempt.verdict = 'not-run';
       delivery.lastFailure = 'unreachable';
+      delivery.unreachableCount += 1;
       this.retryOrGiveUp(delivery, attempt, 'unreachable', nowMs);
     } else if (signal.type === 'lost') {
       if (signal.violation !== undefined) {
@@ -491,6 +601,60 @@
     this.deleteIfDone(delivery);
   }
 
+  /** Records what the end of an attempt tells about its target. */
+  private recordOutcome(
+    {targetId}: DeliveryAttempt,
+    signal: Exclude<AttemptSignal, {readonly type: 'sent'}>,
+    nowMs: InstantMs,
+  ): void {
+    const {board, relays} = this.options;
+    const {reachability} = relays;
+    if (signal.type === 'response') {
+      reachability.onReached(targetId, nowMs);
+    } else if (signal.type !== 'cancelled') {
+      reachability.onFailed(targetId, nowMs);
+    }
+    // A VM without links to targets learns nothing about them.
+    const isOwnFault = signal.type !== 'response' && reachability.isCutOff;
+    const outcome = isOwnFault ? 'withdrawn' : outcomeOf(signal);
+    board.onEnded(targetId, outcome, nowMs);
+  }
+
+  /** Handles the end of an attempt that a peer carried. */
+  private onRelayEnded(
+    delivery: Delivery,
+    attempt: DeliveryAttempt,
+    signal: Exclude<AttemptSignal, {readonly type: 'sent'}>,
+    nowMs: InstantMs,
+  ): void {
+    const {token, peerHost = ''} = attempt;
+    const result = relayResultOf(signal);
+    const {peers} = this.options.relays;
+    peers.onEnded(peerHost, result.outcome, nowMs);
+    attempt.verdict = result.verdict;
+    if (signal.type === 'response') {
+      if (result.outcome === 'carried' && !delivery.isClosed) {
+        this.respond(delivery, token, signal.status, nowMs);
+        return;
+      }
+      this.effects.push({type: 'discard', token});
+    }
+    if (delivery.isClosed) {
+      return;
+    }
+    const reason = result.verdict === 'not-run' ? 'refused' : 'lost';
+    this.log(attemptFailedEvent(delivery, attempt, reason, nowMs));
+    delivery.triedPeerHosts.push(peerHost);
+    if (delivery.openAttempts.length > 0) {
+      return;
+    }
+    if (result.verdict === 'not-run') {
+      this.dispatch(delivery, nowMs);
+    } else {
+      this.giveUp(delivery, 'lost', nowMs);
+    }
+  }
+
   private onResponse(
     delivery: Delivery,
     attempt: DeliveryAttempt,
@@ -571,6 +735,11 @@
     nowMs: InstantMs,
   ): void {
     delivery.lastFailure = 'lost';
+    if (this.options.relays.reachability.isCutOff) {
+      // The links of this VM were lost, not the target.
+      this.retryOrGiveUp(delivery, attempt, 'lost', nowMs);
+      return;
+    }
     const crashedTargetCount = this.quarantine.onCrash(
       attempt.targetId,
       delivery.request,
@@ -613,8 +782,8 @@
     reserve: number,
     nowMs: InstantMs,
   ): boolean {
-    const {rule, service, request} = delivery;
-    if (delivery.sentCount >= rule.maxAttempts) {
+    const {service, request} = delivery;
+    if (delivery.sentCount >= delivery.maxAttempts) {
       return false;
     }
     if (this.quarantine.isQuarantined(request, nowMs)) {
@@ -655,10 +824,14 @@
       delivery.hedgeCheckAtMs = Infinity;
       return;
     }
-    if (delivery.sentCount >= delivery.rule.maxAttempts) {
+    if (delivery.sentCount >= delivery.maxAttempts) {
       delivery.hedgeCheckAtMs = Infinity;
       return;
     }
+    if (this.options.relays.reachability.isCutOff) {
+      this.hedgeAtPeer(delivery, nowMs);
+      return;
+    }
     const choice = this.selection.chooseHedge(delivery, nowMs);
     if (choice === undefined) {
       return;
@@ -669,6 +842,20 @@
     }
   }
 
+  /** Hedges an attempt whose connection a cut has silenced. */
+  private hedgeAtPeer(delivery: Delivery, nowMs: InstantMs): void {
+    const {request, service} = delivery;
+    const {unreachableCount, triedPeerHosts: triedHosts} = delivery;
+    const progress = {unreachableCount, triedHosts};
+    const decision = this.options.relays.decide(progress, nowMs);
+    if (request.relay !== undefined || decision.type !== 'relay') {
+      return;
+    }
+    if (this.limits.tryResend(service, HEDGE_RESERVE_SHARE, nowMs)) {
+      this.sendToPeer(delivery, decision.host, nowMs);
+    }
+  }
+
   private respond(
     delivery: Delivery,
     token: string,
@@ -768,7 +955,12 @@
   private cancelAttempt(attempt: DeliveryAttempt, nowMs: InstantMs): void {
     attempt.isOpen = false;
     this.deliveriesByToken.delete(attempt.token);
-    this.options.board.onEnded(attempt.targetId, 'withdrawn', nowMs);
+    const {board, relays} = this.options;
+    if (attempt.peerHost === undefined) {
+      board.onEnded(attempt.targetId, 'withdrawn', nowMs);
+    } else {
+      relays.peers.onEnded(attempt.peerHost, 'withdrawn', nowMs);
+    }
     this.effects.push({type: 'cancel', token: attempt.token});
   }
 
@@ -832,3 +1024,27 @@
       return 'withdrawn';
   }
 }
+
+/** Returns how a request at a peer ended, and whether it may have run. */
+function relayResultOf(
+  signal: Exclude<AttemptSignal, {readonly type: 'sent'}>,
+): {readonly outcome: RelayOutcome; readonly verdict: Verdict} {
+  switch (signal.type) {
+    case 'response':
+      if (signal.refused) {
+        return {outcome: 'refused', verdict: 'not-run'};
+      }
+      return signal.unanswered === true
+        ? {outcome: 'refused', verdict: 'may-have-run'}
+        : {outcome: 'carried', verdict: 'ran'};
+    case 'unreachable':
+      return {outcome: 'failed', verdict: 'not-run'};
+    case 'lost':
+      return {outcome: 'failed', verdict: 'may-have-run'};
+    case 'cancelled':
+      return {
+        outcome: 'withdrawn',
+        verdict: signal.bytesSent ? 'may-have-run' : 'not-run',
+      };
+  }
+}
--- a/src/delivery/delivery_engine_test.ts
+++ b/src/delivery/delivery_engine_test.ts
@@ -8,6 +8,7 @@
 import {FingerprintQuarantine} from '../recovery/index.js';
 import type {KnownTarget} from '../registry/index.js';
 import {knownTarget} from '../registry/target_fixture.js';
+import {RelayPeers, RelayPolicy, TargetReachability} from '../relay/index.js';
 import {RouteTable, type RouteRule} from '../routes/index.js';
 import {
   DeliveryEngine,
@@ -36,12 +37,15 @@
 };
 
 type Send = Extract<DeliveryEffect, {readonly type: 'send'}>;
+type Relay = Extract<DeliveryEffect, {readonly type: 'relay'}>;
 
 /** Delivery engine with fake targets in simulated time. */
 class Harness {
   readonly board = new LoadBoard({failureDomain: 'a'});
   readonly engine: DeliveryEngine;
   readonly sends: Send[] = [];
+  readonly relayed: Relay[] = [];
+  readonly reachability = new TargetReachability();
   readonly cancelled: string[] = [];
   readonly probes: Extract<DeliveryEffect, {readonly type: 'probe'}>[] = [];
   readonly outcomes = new Map<string, DeliveryOutcome[]>();
@@ -53,6 +57,7 @@
       readonly targets?: number;
       readonly allowance?: number;
       readonly probes?: boolean;
+      readonly peers?: number;
     } = {},
   ) {
     const {targets = 4, allowance = 1000} = options;
@@ -62,6 +67,7 @@
       random: new SeededRandom({seed: 3}),
       targetLimits: new TargetLimits(),
       grants: new RequestGrants(new TargetLimits()),
+      relays: this.relayPolicy(options.peers ?? 0),
       resendLimit: {ratio: 0, allowance, windowMs: 10_000},
       fleetSize: () => 1,
       takeProbes: () => options.probes ?? false,
@@ -70,6 +76,28 @@
     this.setTargets(targets);
   }
 
+  /** Cuts the VM off from all targets. */
+  cutOff(): void {
+    for (const targetId of ['x0', 'x1', 'x2']) {
+      this.reachability.onFailed(targetId, this.nowMs);
+    }
+    this.reachability.update(4, this.nowMs + 300);
+  }
+
+  private relayPolicy(peerCount: number): RelayPolicy {
+    const random = new SeededRandom({seed: 6});
+    const candidates = Array.from({length: peerCount}, (_, index) => ({
+      host: `p${index}`,
+      failureDomain: 'a',
+    }));
+    const peers = new RelayPeers({
+      failureDomain: 'a',
+      random,
+      candidates: () => candidates,
+    });
+    return new RelayPolicy({reachability: this.reachability, peers, random});
+  }
+
   setTargets(count: number): void {
     const targets = new Map<string, KnownTarget>();
     for (let index = 0; index < count; index += 1) {
@@ -159,6 +187,8 @@
     for (const effect of effects) {
       if (effect.type === 'send') {
         this.sends.push(effect);
+      } else if (effect.type === 'relay') {
+        this.relayed.push(effect);
       } else if (effect.type === 'probe') {
         this.probes.push(effect);
       } else if (effect.type === 'cancel') {
@@ -217,6 +247,7 @@
     random: new SeededRandom({seed: 1}),
     targetLimits: new TargetLimits(),
     grants: new RequestGrants(new TargetLimits()),
+    relays: RelayPolicy.withoutPeers(new SeededRandom({seed: 1})),
     resendLimit: {ratio: 0, allowance: 0, windowMs: 1},
     fleetSize: () => 1,
     takeProbes: () => false,
@@ -627,3 +658,111 @@
     inFlight: undefined,
   };
 }
+
+const RELAY_TERMS = {maxAttempts: 1, isCounted: true, routesVersion: 1};
+
+const UNANSWERED = {...answer(502), unanswered: true} as AttemptSignal;
+
+test('a VM cut off from all targets passes requests to a peer with what is left', () => {
+  // Guards against VMs that can only fail the requests of their callers.
+  const harness = new Harness({peers: 3});
+  harness.cutOff();
+  const id = harness.request(UNSAFE);
+  assert.equal(harness.sends.length, 0);
+  const [relay] = harness.relayed;
+  assert.deepEqual(relay!.terms, {
+    maxAttempts: 2,
+    isCounted: false,
+    routesVersion: 1,
+  });
+  harness.signal(relay!.token, {type: 'sent'});
+  harness.signal(relay!.token, answer(200));
+  assert.equal(harness.status(id), 'response');
+  assert.equal(harness.engine.openCount, 0);
+});
+
+test('a request that a peer refuses goes to another peer, at most three', () => {
+  // Guards against first tries that fail because one peer is busy.
+  const harness = new Harness({peers: 5});
+  harness.cutOff();
+  const id = harness.request(UNSAFE);
+  for (let i = 0; i < 3; i += 1) {
+    harness.signal(harness.relayed[i]!.token, {type: 'sent'});
+    harness.signal(harness.relayed[i]!.token, answer(503, true));
+  }
+  assert.equal(new Set(harness.relayed.map(({host}) => host)).size, 3);
+  assert.equal(harness.status(id), 503);
+  // The first peer may have counted it.
+  assert.ok(harness.relayed[1]!.terms.isCounted);
+});
+
+test('a request lost at a peer is neither passed on nor promised as not run', () => {
+  // Guards against a booking that runs twice, and against a false verdict.
+  for (const signal of [LOST, UNANSWERED]) {
+    for (const rule of [SAFE, UNSAFE]) {
+      const harness = new Harness({peers: 3});
+      harness.cutOff();
+      const id = harness.request(rule);
+      harness.signal(harness.relayed[0]!.token, {type: 'sent'});
+      harness.signal(harness.relayed[0]!.token, signal);
+      assert.equal(harness.relayed.length, 1);
+      assert.equal(harness.status(id), 502);
+    }
+  }
+});
+
+test('a peer passes no relayed request on, and refuses it when cut off itself', () => {
+  // Guards against requests that go round in circles.
+  const harness = new Harness({peers: 3});
+  harness.cutOff();
+  const id = harness.request(UNSAFE, {relay: RELAY_TERMS});
+  assert.equal(harness.relayed.length + harness.sends.length, 0);
+  assert.equal(harness.status(id), 503);
+});
+
+test('a peer sends a relayed request to no more targets than it may', () => {
+  // Guards against attempts that are counted anew at each VM.
+  const harness = new Harness();
+  const id = harness.request(SAFE, {relay: RELAY_TERMS});
+  harness.endAttempt(harness.sends[0], LOST);
+  assert.equal(harness.sends.length, 1);
+  assert.equal(harness.status(id), 502);
+});
+
+test('a peer with older routes refuses a relayed request', () => {
+  // Guards against requests that are run by a service that they no longer go to.
+  const harness = new Harness();
+  const relay = {...RELAY_TERMS, routesVersion: 2};
+  const id = harness.request(UNSAFE, {relay});
+  assert.equal(harness.sends.length, 0);
+  assert.equal(harness.status(id), 503);
+});
+
+test('a caller that leaves ends its relayed request if it is idempotent', () => {
+  // Guards against work for callers that have left.
+  for (const rule of [SAFE, UNSAFE]) {
+    const harness = new Harness({peers: 2});
+    harness.cutOff();
+    const id = harness.request(rule);
+    const {token} = harness.relayed[0]!;
+    harness.signal(token, {type: 'sent'});
+    harness.callerGone(id);
+    assert.equal(harness.cancelled.includes(token), rule.idempotent);
+  }
+});
+
+test('targets are not blamed for failures while the VM is cut off', () => {
+  // Guards against targets that a VM avoids after its links have returned.
+  const harness = new Harness({peers: 2});
+  const id = harness.request(UNSAFE);
+  const [send] = harness.sends;
+  harness.signal(send!.token, {type: 'sent'});
+  harness.cutOff();
+  harness.signal(send!.token, LOST);
+  assert.equal(harness.status(id), 502);
+  const forecasts = harness.board.forecasts(
+    {service: 's', workMs: 10, excludedTargetIds: []},
+    harness.nowMs,
+  );
+  assert.ok(forecasts.every(({failureShare}) => failureShare === 0));
+});
--- a/src/delivery/delivery_events.ts
+++ b/src/delivery/delivery_events.ts
@@ -52,6 +52,33 @@
   };
 }
 
+/**
+ * Builds the log event of a request that is passed to a peer.
+ *
+ * @param delivery - request
+ * @param attempt - attempt that the peer carries
+ * @param nowMs - current instant in milliseconds
+ * @returns event to log
+ */
+export function relayEvent(
+  {request, rule, attempts, unreachableCount}: Delivery,
+  {peerHost = '', targetCount}: DeliveryAttempt,
+  nowMs: InstantMs,
+): DeliveryEvent {
+  return {
+    name: 'relay',
+    details: {
+      callId: request.callId,
+      route: rule.name,
+      attempt: attempts.length,
+      peer: peerHost,
+      maxAttempts: targetCount,
+      unreachableCount,
+      waitedMs: Math.round(nowMs - request.arrivedMs),
+    },
+  };
+}
+
 /**
  * Builds the log event of the end of an attempt without a response to forward.
  *
--- a/src/delivery/refusal.ts
+++ b/src/delivery/refusal.ts
@@ -14,6 +14,14 @@
 const UNAVAILABLE = 503;
 const GATEWAY_TIMEOUT = 504;
 
+/** Reasons that concern this VM only. */
+const OTHER_VM_REASONS: ReadonlySet<DeliveryReason> = new Set([
+  'no-routes',
+  'outdated-routes',
+  'cut-off',
+  'leaving',
+]);
+
 /** Retry delay if another VM can serve the request. */
 const OTHER_VM_RETRY_SECONDS = 0.01;
 
@@ -90,7 +98,7 @@
   if (reason === 'quarantined') {
     return undefined;
   }
-  const canOtherVmServe = reason === 'no-routes' || reason === 'leaving';
+  const canOtherVmServe = OTHER_VM_REASONS.has(reason);
   const seconds = canOtherVmServe
     ? OTHER_VM_RETRY_SECONDS
     : overloadRetrySeconds(load);
--- a/src/delivery/types.ts
+++ b/src/delivery/types.ts
@@ -7,6 +7,16 @@
 import type {AnswerOutcome} from '../engine/index.js';
 import type {RequestFingerprints} from '../recovery/index.js';
 
+/** Terms under which a peer has passed a request of its caller on. */
+export interface RelayTerms {
+  /** Targets that the request may still be sent to. */
+  readonly maxAttempts: number;
+  /** Whether the peer has counted the request for its retry budget. */
+  readonly isCounted: boolean;
+  /** Version of the routes by which the peer has routed the request. */
+  readonly routesVersion: number;
+}
+
 /** Request of a caller whose head and body are complete. */
 export interface RoutedRequest extends RequestFingerprints {
   /** Unique within the process. */
@@ -25,12 +35,16 @@
   readonly arrivedMs: InstantMs;
   /** Deadline of the caller; undefined if it sent none. */
   readonly deadlineMs: InstantMs | undefined;
+  /** Undefined if the request comes from the caller itself. */
+  readonly relay?: RelayTerms | undefined;
 }
 
 /** Reason why no response of a target is forwarded to the caller. */
 export type DeliveryReason =
   | 'no-routes'
   | 'no-route'
+  | 'outdated-routes'
+  | 'cut-off'
   | 'leaving'
   | 'quarantined'
   | 'no-target'
@@ -66,6 +80,16 @@
       readonly maxConnections: number;
       readonly deadlineMs: InstantMs;
     }
+  /** Pass the request to a peer. */
+  | {
+      readonly type: 'relay';
+      readonly token: string;
+      readonly requestId: string;
+      readonly host: string;
+      readonly freshness: 'any' | 'proven';
+      readonly deadlineMs: InstantMs;
+      readonly terms: RelayTerms;
+    }
   /** Probe the load of targets at once; then notify the engine. */
   | {
       readonly type: 'probe';
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -109,6 +109,8 @@
       readonly figures?: LoadFigures | undefined;
       /** Limit that the target names; undefined if the protocol has none. */
       readonly limit?: LimitStatement | undefined;
+      /** A peer that carried the request got no response of a target. */
+      readonly unanswered?: boolean;
       /** Another target responded at this address; it did not run the work. */
       readonly misdirected?: boolean;
     }
--- a/src/entry/composition_root.ts
+++ b/src/entry/composition_root.ts
@@ -15,7 +15,9 @@
 import {ProbeTokenBucket} from '../probing/index.js';
 import {DatagramLink, PublishedServer} from '../peer_datagram/index.js';
 import {CrashQuarantine, FingerprintQuarantine} from '../recovery/index.js';
+import {RelayCallerProtocol, RelayTargetProtocol} from '../peer_relay/index.js';
 import {PublishedSource, PublishedState} from '../registry/index.js';
+import {RelayPeers, RelayPolicy, TargetReachability} from '../relay/index.js';
 import {TargetClient, type TargetProtocol} from '../target_http/index.js';
 import {INITIAL_LIMITS} from './caller_limits.js';
 import {DeliveryRunner} from './delivery_runner.js';
@@ -25,6 +27,7 @@
 import {EventLogger} from './event_logger.js';
 import {LimitSharing} from './limit_sharing.js';
 import {LoadSharing} from './load_sharing.js';
+import {ReachabilitySharing} from './reachability_sharing.js';
 import {PublishedReader} from './published_reader.js';
 import type {EntrySettings} from './settings.js';
 import {StatusServer} from './status_server.js';
@@ -44,6 +47,12 @@
  */
 const ON_DEMAND_PROBE_SHARE = 0.6;
 
+/** Binding of the client for requests that peers carry. */
+const PEER_CLIENT = Symbol('peer client');
+
+/** Binding of the server for requests of peers. */
+const PEER_REQUEST_SERVER = Symbol('peer request server');
+
 /** Options of {@link composeEntry}, which differ between platforms. */
 export interface EntryOptions {
   readonly settings: EntrySettings;
@@ -83,7 +92,11 @@
         engine: get(DeliveryEngine),
         runner: get(DeliveryRunner),
         callers: get<CallerServer<RoutedRequest>>(CallerServer),
+        peerRequests: get<CallerServer<RoutedRequest>>(PEER_REQUEST_SERVER),
         targets: get(TargetClient),
+        peers: get<TargetClient>(PEER_CLIENT),
+        relays: get(RelayPolicy),
+        reachability: get(ReachabilitySharing),
         prober: get(TargetProber),
         sharing: get(LoadSharing),
         limitSharing: get(LimitSharing),
@@ -139,6 +152,22 @@
     .toDynamicValue(
       ({get}) => new PublishedReplica(get(PublishedState), get(FleetNode)),
     );
+  container
+    .bind(TargetReachability)
+    .toDynamicValue(() => new TargetReachability());
+  container.bind(RelayPolicy).toDynamicValue(({get}) => {
+    const fleet = get(FleetNode);
+    const random = get(RandomSource);
+    return new RelayPolicy({
+      reachability: get(TargetReachability),
+      random,
+      peers: new RelayPeers({
+        failureDomain,
+        random,
+        candidates: nowMs => fleet.relayCandidates(nowMs),
+      }),
+    });
+  });
   container.bind(DeliveryEngine).toDynamicValue(({get}) => {
     const fleet = get(FleetNode);
     const probes = new ProbeTokenBucket();
@@ -149,6 +178,7 @@
       resendLimit: settings.resendLimit,
       targetLimits: get(TargetLimits),
       grants: get(RequestGrants),
+      relays: get(RelayPolicy),
       fleetSize: nowMs => fleet.fleetSize(nowMs),
       takeProbes: (count, nowMs) => {
         const targetCount = get(PublishedState).targets.size;
@@ -174,12 +204,21 @@
       ({get}) =>
         new TargetClient({clock: get(Clock), protocol: options.targetProtocol}),
     );
+  container.bind(PEER_CLIENT).toDynamicValue(
+    ({get}) =>
+      new TargetClient({
+        clock: get(Clock),
+        protocol: new RelayTargetProtocol(),
+      }),
+  );
   container.bind(DeliveryRunner).toDynamicValue(
     ({get}) =>
       new DeliveryRunner({
         clock: get(Clock),
         engine: get(DeliveryEngine),
         targets: get(TargetClient),
+        peers: get<TargetClient>(PEER_CLIENT),
+        relayPort: settings.relayPort,
         board: get(LoadBoard),
         prober: get(TargetProber),
         metrics: get(EntryMetrics),
@@ -197,11 +236,24 @@
     runner.attach(server);
     return server;
   });
+  container.bind(PEER_REQUEST_SERVER).toDynamicValue(({get}) => {
+    const runner = get(DeliveryRunner);
+    const server = new CallerServer<RoutedRequest>({
+      clock: get(Clock),
+      limits: INITIAL_LIMITS,
+      protocol: new RelayCallerProtocol(options.callerProtocol),
+      listener: runner,
+      requestIdPrefix: 'p',
+    });
+    runner.attach(server);
+    return server;
+  });
   container.bind(TargetProber).toDynamicValue(({get}) => {
     return new TargetProber({
       clock: get(Clock),
       targets: get(TargetClient),
       board: get(LoadBoard),
+      reachability: get(TargetReachability),
       // Resolved at each call, because the daemon depends on the prober.
       routes: () => container.get(EntryDaemon).routes,
     });
@@ -229,10 +281,19 @@
         fleet: get(FleetNode),
         board: get(LoadBoard),
         quarantine: get(CrashQuarantine),
+        reachability: get(TargetReachability),
         maxProbesPerSecond,
         linkMbitPerSecond,
       }),
   );
+  container.bind(ReachabilitySharing).toDynamicValue(
+    ({get}) =>
+      new ReachabilitySharing({
+        reachability: get(TargetReachability),
+        board: get(LoadBoard),
+        fleet: get(FleetNode),
+      }),
+  );
   container
     .bind(DrainSharing)
     .toDynamicValue(
--- a/src/entry/delivery_runner.ts
+++ b/src/entry/delivery_runner.ts
@@ -16,6 +16,7 @@
   RoutedRequest,
 } from '../delivery/index.js';
 import type {AttemptSignal} from '../engine/index.js';
+import {encodeRelayHead, RELAY_HEADER} from '../peer_relay/index.js';
 import type {LoadBoard} from '../load/index.js';
 import type {TargetClient, TargetResponse} from '../target_http/index.js';
 import type {EntryMetrics} from './entry_metrics.js';
@@ -27,11 +28,17 @@
   {readonly type: T}
 >;
 
+/** Most connections to one peer that carries requests. */
+const MAX_PEER_CONNECTIONS = 64;
+
 /** Options of {@link DeliveryRunner}. */
 export interface DeliveryRunnerOptions {
   readonly clock: Clock;
   readonly engine: DeliveryEngine;
   readonly targets: TargetClient;
+  /** Client for requests that peers carry. */
+  readonly peers: TargetClient;
+  readonly relayPort: number;
   readonly board: LoadBoard;
   readonly prober: TargetProber;
   readonly metrics: EntryMetrics;
@@ -48,20 +55,25 @@
   private readonly queue: DeliveryEffect[] = [];
   private readonly responses = new Map<string, TargetResponse>();
   private isRunning = false;
-  private server: CallerServer<RoutedRequest> | undefined;
+  private readonly servers: CallerServer<RoutedRequest>[] = [];
   private timer: NodeJS.Timeout | undefined;
   private timerDueMs: InstantMs = Infinity;
 
   /** @param options - engine, adapters, metrics and log */
   constructor(private readonly options: DeliveryRunnerOptions) {}
 
-  /** Sets the server that answers callers. */
+  /** Adds a server whose requests this runner answers. */
   attach(server: CallerServer<RoutedRequest>): void {
-    this.server = server;
+    this.servers.push(server);
   }
 
   onRequest(exchange: Exchange<RoutedRequest>): void {
-    this.options.metrics.onRequest();
+    const {metrics} = this.options;
+    if (exchange.request.relay === undefined) {
+      metrics.onRequest();
+    } else {
+      metrics.onRequestOfPeer();
+    }
     this.feed(nowMs => this.options.engine.onRequest(exchange.request, nowMs));
   }
 
@@ -130,11 +142,14 @@
       case 'send':
         this.send(effect);
         break;
+      case 'relay':
+        this.relay(effect);
+        break;
       case 'probe':
         this.probeTargets(effect);
         break;
       case 'cancel':
-        this.options.targets.cancel(effect.token);
+        this.cancel(effect.token);
         break;
       case 'discard':
         this.responses.get(effect.token)?.discard();
@@ -161,12 +176,9 @@
   }
 
   private send(effect: EffectOf<'send'>): void {
-    const exchange = this.server?.find(effect.requestId);
+    const exchange = this.find(effect.requestId);
     if (exchange === undefined) {
-      const signal = {type: 'cancelled', bytesSent: false} as const;
-      this.feed(nowMs =>
-        this.options.engine.onSignal(effect.token, signal, nowMs),
-      );
+      this.reportCallerGone(effect.token);
       return;
     }
     const {targetId, host, port, token} = effect;
@@ -191,17 +203,70 @@
     });
   }
 
+  /** Passes a request to a peer. */
+  private relay(effect: EffectOf<'relay'>): void {
+    const exchange = this.find(effect.requestId);
+    if (exchange === undefined) {
+      this.reportCallerGone(effect.token);
+      return;
+    }
+    const {host, token, deadlineMs, terms} = effect;
+    const {request, body} = exchange;
+    this.options.metrics.onRelay();
+    this.options.peers.send({
+      target: {targetId: host, host, port: this.options.relayPort},
+      maxConnections: MAX_PEER_CONNECTIONS,
+      request: {
+        token,
+        method: request.method,
+        path: request.path,
+        headers: [
+          ...withoutHeader(exchange.headers, RELAY_HEADER),
+          RELAY_HEADER,
+          encodeRelayHead(request, terms, deadlineMs),
+        ],
+        body,
+        freshness: effect.freshness,
+        deadlineMs,
+        silenceLimitMs: undefined,
+        callId: request.callId,
+      },
+      listener: (signal, response) => this.onSignal(token, signal, response),
+    });
+  }
+
+  private cancel(token: string): void {
+    this.options.targets.cancel(token);
+    this.options.peers.cancel(token);
+  }
+
+  private find(requestId: string): Exchange<RoutedRequest> | undefined {
+    for (const server of this.servers) {
+      const exchange = server.find(requestId);
+      if (exchange !== undefined) {
+        return exchange;
+      }
+    }
+    return undefined;
+  }
+
+  /** Reports an attempt whose caller has disconnected before it was sent. */
+  private reportCallerGone(token: string): void {
+    const signal = {type: 'cancelled', bytesSent: false} as const;
+    this.feed(nowMs => this.options.engine.onSignal(token, signal, nowMs));
+  }
+
   private onSignal(
     token: string,
     signal: AttemptSignal,
     response: TargetResponse | undefined,
   ): void {
-    const {engine, clock, targets} = this.options;
+    const {engine, clock} = this.options;
     if (signal.type === 'sent') {
       const effects = engine.onSignal(token, signal, clock.nowMs());
       for (const effect of effects) {
         if (effect.type === 'cancel') {
-          targets.cancel(effect.token);
+          this.cancel(effect.token);
         } else {
           this.queue.push(effect);
         }
@@ -218,7 +283,7 @@
 
   private respond(requestId: string, outcome: DeliveryOutcome): void {
     const {metrics, clock} = this.options;
-    const exchange = this.server?.find(requestId);
+    const exchange = this.find(requestId);
     const elapsedMs =
       clock.nowMs() - (exchange?.request.arrivedMs ?? clock.nowMs());
     if (outcome.type === 'refusal') {
@@ -236,3 +301,13 @@
     exchange.forward(response);
   }
 }
+
+/** Removes a field from alternating names and values. */
+function withoutHeader(
+  headers: readonly string[],
+  name: string,
+): readonly string[] {
+  return headers.filter(
+    (_, index) => headers[index - (index % 2)]?.toLowerCase() !== name,
+  );
+}
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -22,6 +22,7 @@
   type DatagramLink,
   type PublishedServer,
 } from '../peer_datagram/index.js';
+import type {RelayPolicy} from '../relay/index.js';
 import type {CrashQuarantine} from '../recovery/index.js';
 import type {
   PublishedDelta,
@@ -39,6 +40,7 @@
 import type {DrainSharing} from './drain_sharing.js';
 import type {LimitSharing} from './limit_sharing.js';
 import type {LoadSharing} from './load_sharing.js';
+import type {ReachabilitySharing} from './reachability_sharing.js';
 import type {PublishedReader, ReaderListener} from './published_reader.js';
 import type {EntrySettings} from './settings.js';
 import type {StatusServer} from './status_server.js';
@@ -85,6 +87,12 @@
 /** Interval at which granted rates are logged and shown, in milliseconds. */
 const GRANTED_RATES_INTERVAL_MS = 5_000;
 
+/** Interval at which requests that peers carried are logged. */
+const CARRIED_COUNTS_INTERVAL_MS = 5_000;
+
+/** Most peers in one log line. */
+const MAX_LISTED_PEERS = 20;
+
 /** Most limited targets in one log line. */
 const MAX_LISTED_RATES = 20;
 
@@ -105,7 +113,13 @@
   readonly engine: DeliveryEngine;
   readonly runner: DeliveryRunner;
   readonly callers: CallerServer<RoutedRequest>;
+  /** Server for requests that peers pass to this VM. */
+  readonly peerRequests: CallerServer<RoutedRequest>;
   readonly targets: TargetClient;
+  /** Client for requests that peers carry. */
+  readonly peers: TargetClient;
+  readonly relays: RelayPolicy;
+  readonly reachability: ReachabilitySharing;
   readonly prober: TargetProber;
   readonly sharing: LoadSharing;
   readonly limitSharing: LimitSharing;
@@ -132,6 +146,7 @@
   private lastRoles: FleetRoles | undefined;
   private lastLoggedRoles = '';
   private nextGrantedRatesMs = 0;
+  private nextCarriedCountsMs = 0;
 
   /** @param parts - components that are not started yet */
   constructor(private readonly parts: EntryParts) {}
@@ -152,7 +167,7 @@
   async start(): Promise<void> {
     const {settings, fleet, callers, link, published, status} = this.parts;
     const {log, metrics, engine, targets, state, reader, clock} = this.parts;
-    const {quarantine, board} = this.parts;
+    const {quarantine, board, relays, peerRequests} = this.parts;
     fleet.setSeeds(settings.seedHosts);
     metrics.registerGauges({
       openRequests: () => engine.openCount,
@@ -164,6 +179,10 @@
       heldTargetCounts: () => state.heldTargetCounts,
       storeCalls: () => reader.callCount,
       quarantinedRequests: () => quarantine.quarantinedCount(clock.nowMs()),
+      cutOffSeconds: () => {
+        const sinceMs = relays.reachability.cutOffSinceMs;
+        return sinceMs === undefined ? 0 : (clock.nowMs() - sinceMs) / 1000;
+      },
       avoidedTargets: () => board.avoidedTargets(clock.nowMs()),
       confirmationAgeMs: () =>
         Math.min(fleet.confirmationAgeMs(clock.nowMs()), 1e9),
@@ -171,6 +190,10 @@
     await link.open();
     await status.listen();
     await published.listen(settings.host, settings.peerPort);
+    await peerRequests.listen({
+      host: settings.host,
+      port: settings.relayPort,
+    });
     await callers.listen(settings.caller);
     this.timers.push(setInterval(() => this.tick(), TICK_INTERVAL_MS));
     log.info('process', 'started', {
@@ -247,12 +270,13 @@
     if (this.lifecycle === 'leaving') {
       return;
     }
-    const {fleet, callers, clock, log, engine} = this.parts;
+    const {fleet, callers, peerRequests, clock, log, engine} = this.parts;
     this.lifecycle = 'leaving';
     log.info('process', 'leaving', {openRequests: engine.openCount});
     fleet.setState('leaving');
     this.sendAll(fleet.announce(clock.nowMs()));
     callers.beginDrain();
+    peerRequests.beginDrain();
     const {stopGraceMs} = this.parts.settings;
     const endDelayMs = stopGraceMs - STOP_MARGIN_MS;
     engine.beginLeaving(clock.nowMs() + endDelayMs);
@@ -264,12 +288,15 @@
   }
 
   private stopListening(): void {
-    this.parts.callers.stopListening();
-    this.parts.callers.closeIdle();
+    const servers = [this.parts.callers, this.parts.peerRequests];
+    servers.forEach(server => {
+      server.stopListening();
+      server.closeIdle();
+    });
     this.parts.log.info('process', 'stopped listening');
     const check = (): void => {
-      const {engine, callers} = this.parts;
-      if (engine.openCount === 0 && callers.openCount === 0) {
+      const openCount = servers.reduce((sum, each) => sum + each.openCount, 0);
+      if (this.parts.engine.openCount + openCount === 0) {
         this.end();
       }
     };
@@ -282,7 +309,9 @@
     this.timers.forEach(timer => clearInterval(timer));
     this.parts.reader.setActive(false);
     this.parts.callers.destroy();
+    this.parts.peerRequests.destroy();
     this.parts.targets.close();
+    this.parts.peers.close();
     this.parts.link.close();
     this.parts.published.close();
     this.parts.status.close();
@@ -307,9 +336,11 @@
   }
 
   private runPeriodicWork(): void {
-    const {clock, fleet, reader, state, sharing, prober, targets} = this.parts;
+    const {clock, fleet, reader, state, sharing, prober} = this.parts;
+    const {targets, peers} = this.parts;
     const nowMs = clock.nowMs();
     this.checkPause(nowMs);
+    this.checkReachability(nowMs);
     this.expireTargets(nowMs);
     this.sendAll(fleet.onTick(nowMs));
     this.logRoles();
@@ -323,6 +354,43 @@
     this.tickCount += 1;
     if (this.tickCount % CONNECTION_CHECK_TICKS === 0) {
       targets.tick();
+      peers.tick();
+    }
+  }
+
+  /** Finds out whether this VM reaches targets, and tells the fleet. */
+  private checkReachability(nowMs: number): void {
+    const {state, reachability, prober, fleet, log} = this.parts;
+    const {runner, engine} = this.parts;
+    const work = reachability.onTick(state.targets, nowMs);
+    this.sendAll(work.dispatches);
+    work.probes.forEach(target => prober.probe(target));
+    if (work.change?.type === 'cut-off') {
+      log.warn('targets', 'cut off from all targets', {
+        failedTargets: work.change.failedCount,
+        knownPeers: fleet.relayCandidates(nowMs).length,
+      });
+    } else if (work.change?.type === 'returned') {
+      const durationMs = Math.round(nowMs - work.change.cutOffSinceMs);
+      log.warn('targets', 'reached again', {durationMs});
+    }
+    if (work.change !== undefined) {
+      runner.feed(inputMs => engine.onTargetsChanged(inputMs));
+    }
+    if (nowMs >= this.nextCarriedCountsMs) {
+      this.nextCarriedCountsMs = nowMs + CARRIED_COUNTS_INTERVAL_MS;
+      this.logCarriedCounts();
+    }
+  }
+
+  private logCarriedCounts(): void {
+    const counts = [...this.parts.relays.peers.takeCarriedCounts()];
+    if (counts.length > 0) {
+      const listed = counts.slice(0, MAX_LISTED_PEERS);
+      const perPeer = listed.map(([host, count]) => `${host} ${count}`);
+      const total = counts.reduce((sum, [, count]) => sum + count, 0);
+      const fields = {total, peers: perPeer.join(', ')};
+      this.parts.log.warn('targets', 'requests carried by peers', fields);
     }
   }
 
@@ -474,7 +542,9 @@
     if (routesChanged && state.routes !== undefined) {
       this.routes = new RouteTable(state.routes);
       engine.applyRoutes(this.routes);
-      this.parts.callers.applyLimits(deriveCallerLimits(state.routes.bounds));
+      const limits = deriveCallerLimits(state.routes.bounds);
+      this.parts.callers.applyLimits(limits);
+      this.parts.peerRequests.applyLimits(limits);
     }
     if (routesChanged || changedTargetIds.length > 0) {
       log.info('published', 'adopted', {
--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -19,6 +19,7 @@
   readonly storeEra: () => number;
   readonly routesVersion: () => number;
   readonly heldTargetCounts: () => HeldTargetCounts;
+  readonly cutOffSeconds: () => number;
   readonly avoidedTargets: () => readonly AvoidedTarget[];
   readonly confirmationAgeMs: () => number;
   readonly storeCalls: () => number;
@@ -33,6 +34,16 @@
     help: 'Requests of callers',
     registers: [this.registry],
   });
+  private readonly requestsOfPeers = new Counter({
+    name: 'sycamorepitch_peer_requests_total',
+    help: 'Requests that peers without links to targets passed to this VM',
+    registers: [this.registry],
+  });
+  private readonly relays = new Counter({
+    name: 'sycamorepitch_relays_total',
+    help: 'Requests that this VM passed to a peer',
+    registers: [this.registry],
+  });
   private readonly attempts = new Counter({
     name: 'sycamorepitch_attempts_total',
     help: 'Attempts at targets',
@@ -88,6 +99,16 @@
     this.requests.inc();
   }
 
+  /** Counts a request that a peer passed to this VM. */
+  onRequestOfPeer(): void {
+    this.requestsOfPeers.inc();
+  }
+
+  /** Counts a request that this VM passes to a peer. */
+  onRelay(): void {
+    this.relays.inc();
+  }
+
   /** Counts an attempt at a target. */
   onAttempt(): void {
     this.attempts.inc();
@@ -120,6 +141,11 @@
       sources.routesVersion,
     );
     this.registerHeldTargets(sources.heldTargetCounts);
+    this.gauge(
+      'cut_off_seconds',
+      'Time for which this VM has reached no target; 0 while it does',
+      sources.cutOffSeconds,
+    );
     this.registerAvoidedTargets(sources.avoidedTargets);
     this.gauge('store_calls', 'Calls of the store', sources.storeCalls);
     this.gauge(
--- a/src/entry/load_sharing.ts
+++ b/src/entry/load_sharing.ts
@@ -18,6 +18,7 @@
 } from '../fleet/index.js';
 import type {LoadBoard} from '../load/index.js';
 import {IMPLICATION_TTL_MS, type CrashQuarantine} from '../recovery/index.js';
+import type {TargetReachability} from '../relay/index.js';
 import type {KnownTarget} from '../registry/index.js';
 
 /**
@@ -84,6 +85,7 @@
   readonly fleet: FleetNode;
   readonly board: LoadBoard;
   readonly quarantine: CrashQuarantine;
+  readonly reachability: TargetReachability;
   /** Most probes of one target per second, by the whole fleet. */
   readonly maxProbesPerSecond: number;
   /** Bandwidth of the VM's network link, in megabits per second. */
@@ -132,13 +134,19 @@
     nowMs: InstantMs,
   ): SharingActions {
     const dispatches: Dispatch[] = [];
+    const {reachability} = this.options;
     this.updateQuarantineDigest(nowMs);
-    this.addOutcomeReports(dispatches, nowMs);
+    // The failures that this VM sees may be those of its own links.
+    if (!reachability.isSuspect) {
+      this.addOutcomeReports(dispatches, nowMs);
+    }
     this.addImplicationReport(dispatches, nowMs);
-    if (!this.actsAsHead(nowMs)) {
+    if (!this.actsAsHead(nowMs) || reachability.isCutOff) {
       return {dispatches, probes: []};
     }
-    this.addDueTables(dispatches, nowMs);
+    if (!reachability.isSuspect) {
+      this.addDueTables(dispatches, nowMs);
+    }
     return {dispatches, probes: this.takeDueProbes(targets, nowMs)};
   }
 
@@ -171,6 +179,9 @@
    */
   onTable(table: LoadTable, nowMs: InstantMs): void {
     const {board, failureDomain} = this.options;
+    if (!table.sender.reachesTargets) {
+      return;
+    }
     for (const report of table.reports) {
       board.onPeerReport(report, nowMs);
     }
@@ -189,8 +200,10 @@
    */
   onReport(report: OutcomeReport, nowMs: InstantMs): readonly Dispatch[] {
     const {board, fleet, quarantine} = this.options;
-    for (const outcome of report.outcomes) {
-      board.onPeerOutcomes(outcome, nowMs);
+    if (report.sender.reachesTargets) {
+      for (const outcome of report.outcomes) {
+        board.onPeerOutcomes(outcome, nowMs);
+      }
     }
     for (const implication of report.implications) {
       const {fingerprint, targetId} = implication;
--- a/src/entry/load_sharing_test.ts
+++ b/src/entry/load_sharing_test.ts
@@ -12,6 +12,7 @@
 import type {KnownTarget} from '../registry/index.js';
 import {knownTarget} from '../registry/target_fixture.js';
 import {encodeMessage, MAX_DATAGRAM_BYTES} from '../peer_datagram/index.js';
+import {TargetReachability} from '../relay/index.js';
 import {LoadSharing, type SharingActions} from './load_sharing.js';
 
 /**
@@ -22,6 +23,7 @@
   readonly fleet: FleetNode;
   readonly board = new LoadBoard({failureDomain: 'a'});
   readonly quarantine = new FingerprintQuarantine({quarantineTargetCount: 3});
+  readonly reachability = new TargetReachability();
   readonly sharing: LoadSharing;
 
   constructor(host: string, capacityMillicores: number) {
@@ -42,6 +44,7 @@
       fleet: this.fleet,
       board,
       quarantine,
+      reachability: this.reachability,
       maxProbesPerSecond: 60,
       linkMbitPerSecond: 100,
     });
@@ -259,3 +262,38 @@
     assert.ok(probeCount <= 40 * 100 + targetCount, `${probeCount} probes`);
   }
 });
+
+test('a head whose links may have failed reports nothing about targets', () => {
+  // Guards against targets that the whole fleet avoids on the word of a VM that
+  // is cut off from all of them.
+  const [head, , member] = createDomain();
+  for (const vm of [head, member]) {
+    vm.board.onSent('x', 0);
+    vm.board.onEnded('x', 'failed', 0);
+    vm.board.onProbed('x', false, 0);
+    vm.reachability.onFailed('x', 0);
+    vm.reachability.onFailed('y', 0);
+    assert.ok(vm.reachability.isSuspect);
+    assert.deepEqual(vm.tick(10).dispatches, []);
+  }
+  member.reachability.onReached('y', 20);
+  assert.equal(member.tick(30).dispatches.length, 1);
+});
+
+test('the word of a VM that is cut off from all targets is ignored', () => {
+  // Guards against tables that were sent before the head knew of its cut.
+  const [head, standby, member] = createDomain();
+  const sender = {...head.fleet.reportSelf(), reachesTargets: false};
+  const report = {targetId: 'x', running: 0, waiting: 0, slots: 6};
+  const state = {slowness: 1, ageMs: 0, failureShare: 1, isReachable: false};
+  const reports = [{...report, ...state}];
+  member.sharing.onTable({type: 'load', sender, reports}, 0);
+  const outcomes = [{targetId: 'x', answeredCount: 0, failedCount: 50}];
+  const nothing = {implications: [], clearedFingerprints: []};
+  standby.sharing.onReport({type: 'outcomes', sender, outcomes, ...nothing}, 0);
+  for (const {board} of [member, standby]) {
+    const options = {service: 's', workMs: 1, excludedTargetIds: []};
+    const found = board.forecasts(options, 1);
+    assert.ok(found.every(({failureShare}) => failureShare === 0));
+  }
+});
--- a/src/entry/peer_message_fuzz_test.ts
+++ b/src/entry/peer_message_fuzz_test.ts
@@ -9,6 +9,7 @@
 import {FingerprintQuarantine} from '../recovery/index.js';
 import {PublishedState} from '../registry/index.js';
 import {knownTarget, registeredTarget} from '../registry/target_fixture.js';
+import {TargetReachability} from '../relay/index.js';
 import {LimitSharing} from './limit_sharing.js';
 import {LoadSharing} from './load_sharing.js';
 
@@ -23,6 +24,7 @@
   capacityMillicores: 400,
   state: 'ready',
   isReadFailing: false,
+  reachesTargets: true,
   ageMs: 0,
 } as const;
 
@@ -158,6 +160,7 @@
     fleet,
     board,
     quarantine,
+    reachability: new TargetReachability(),
     maxProbesPerSecond: 60,
     linkMbitPerSecond: 100,
   });
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -23,6 +23,8 @@
   readonly ready: ListenAddress;
   /** Port for messages between VMs, the same on all VMs. */
   readonly peerPort: number;
+  /** Port for requests that peers pass to this VM, the same on all VMs. */
+  readonly relayPort: number;
   /** Port of the metrics endpoint. */
   readonly metricsPort: number;
   /** Host addresses of some VMs for the first contact with the fleet. */
--- a/src/entry/target_prober.ts
+++ b/src/entry/target_prober.ts
@@ -6,6 +6,7 @@
 import type {Clock} from '../core/index.js';
 import type {LoadBoard} from '../load/index.js';
 import type {KnownTarget} from '../registry/index.js';
+import type {TargetReachability} from '../relay/index.js';
 import type {RouteTable} from '../routes/index.js';
 import type {TargetClient} from '../target_http/index.js';
 
@@ -20,6 +21,7 @@
   readonly clock: Clock;
   readonly targets: TargetClient;
   readonly board: LoadBoard;
+  readonly reachability: TargetReachability;
   readonly routes: () => RouteTable | undefined;
 }
 
@@ -75,7 +77,7 @@
     }
     this.pendingCallbacks.set(targetId, listeners);
     this.sentCount += 1;
-    const {clock, targets, board} = this.options;
+    const {clock, targets, board, reachability} = this.options;
     const token = `probe-${this.sentCount}`;
     const sentMs = clock.nowMs();
     const timer = setTimeout(() => targets.cancel(token), PROBE_TIMEOUT_MS);
@@ -107,8 +109,15 @@
           board.onDrainNotice({...notice, sinceMs: nowMs});
         }
         if (signal.type !== 'response') {
-          board.onProbed(targetId, false, nowMs);
-        } else if (signal.figures !== undefined) {
+          reachability.onFailed(targetId, nowMs);
+          if (!reachability.isCutOff) {
+            board.onProbed(targetId, false, nowMs);
+          }
+          callbacks.forEach(each => each());
+          return;
+        }
+        reachability.onReached(targetId, nowMs);
+        if (signal.figures !== undefined) {
           const measuredMs = (sentMs + nowMs) / 2;
           board.onLoadReport(targetId, {...signal.figures, measuredMs});
           board.onProbed(targetId, true, nowMs);
--- a/src/fleet/fleet_node.ts
+++ b/src/fleet/fleet_node.ts
@@ -42,6 +42,18 @@
 /** Interval of heartbeats to the seeds later on; rejoins healed partitions. */
 const SEED_REFRESH_MS = 3_000;
 
+/**
+ * Time for which a head goes on sending to its members after others outrank it,
+ * so that the members hear of those. Tolerates the loss of one heartbeat.
+ */
+const HEAD_HANDOVER_MS = 700;
+
+/**
+ * Members that a head lists in addition while some VMs reach no target. Drawn
+ * anew each time, so that the VMs that need them learn of many.
+ */
+const MAX_LISTED_RELAYS = 8;
+
 /**
  * Maximum number of members that a head lists to its members, highest rank
  * first. These are the next heads; more would make the message grow with the
@@ -106,6 +118,7 @@
   private isSeed = true;
   private state: MemberState = 'starting';
   private readFailing = false;
+  private reachesTargets = true;
   private ownPosition: StorePosition = {era: 0, revision: 0};
   private digest = '';
   private readonly reconciliation = new Reconciliation();
@@ -118,6 +131,7 @@
   private nextHeadHeartbeatMs: InstantMs = 0;
   private nextCrossHeartbeatMs: InstantMs = 0;
   private nextSeedHeartbeatMs: InstantMs = 0;
+  private actsAsHeadUntilMs: InstantMs = -Infinity;
   private reportedDomainSize = 0;
   private reportedDomainSizeUntilMs: InstantMs = -Infinity;
 
@@ -169,6 +183,18 @@
     return this.directory.alive(nowMs);
   }
 
+  /**
+   * Lists the other members that can carry requests for this VM.
+   *
+   * @param nowMs - current instant in milliseconds
+   * @returns ready members that reach targets
+   */
+  relayCandidates(nowMs: InstantMs): readonly Member[] {
+    return this.directory
+      .alive(nowMs)
+      .filter(({state, reachesTargets}) => state === 'ready' && reachesTargets);
+  }
+
   /** Replaces the seed addresses. */
   setSeeds(hosts: readonly string[]): void {
     const selfHost = this.options.identity.host;
@@ -187,6 +213,16 @@
     this.readFailing = isFailing;
   }
 
+  /**
+   * Sets whether this VM reaches any target.
+   *
+   * @param reachesTargets - false while it is cut off from all of them
+   */
+  setReachesTargets(reachesTargets: boolean): void {
+    this.reachesTargets = reachesTargets;
+    this.nextRolesMs = 0;
+  }
+
   /**
    * Sets position and digest of this VM's published state. A new era is told to
    * peers without waiting for the next heartbeat.
@@ -287,6 +323,9 @@
     const outbound: Dispatch[] = [];
     this.sendToSeeds(outbound, nowMs);
     if (this.isHead) {
+      this.actsAsHeadUntilMs = nowMs + HEAD_HANDOVER_MS;
+    }
+    if (nowMs < this.actsAsHeadUntilMs) {
       this.sendAsHead(outbound, nowMs);
     } else if (nowMs >= this.nextMemberHeartbeatMs) {
       this.nextMemberHeartbeatMs = nowMs + MEMBER_HEARTBEAT_MS;
@@ -412,11 +451,12 @@
 
   /** Returns the member record of this VM as sent to other VMs. */
   reportSelf(): ReportedMember {
-    const {state, readFailing} = this;
+    const {state, readFailing, reachesTargets} = this;
     return {
       ...this.options.identity,
       state,
       isReadFailing: readFailing,
+      reachesTargets,
       ageMs: 0,
     };
   }
@@ -481,6 +521,7 @@
       const members = [
         ...ranked.slice(0, MAX_LISTED_MEMBERS),
         ...this.otherDomainHeads(nowMs),
+        ...this.drawRelays(nowMs),
       ];
       const listed = this.toReported(members, nowMs);
       this.enqueue(
@@ -495,12 +536,39 @@
       const ranked = this.directory.rank(
         this.directory.alive(nowMs, localDomain),
       );
-      const listed = this.toReported(ranked, nowMs).slice(0, MAX_LISTED_HEADS);
+      const members = [
+        ...ranked.slice(0, MAX_LISTED_HEADS),
+        ...this.drawRelays(nowMs, localDomain),
+      ];
+      const listed = this.toReported(members, nowMs);
       const hosts = this.otherHeadHosts();
       this.enqueue(outbound, hosts, this.heartbeat(listed, nowMs));
     }
   }
 
+  /** Draws members that reach targets; none unless some VM does not. */
+  private drawRelays(
+    nowMs: InstantMs,
+    failureDomain?: string,
+  ): readonly Member[] {
+    const all = this.directory.alive(nowMs);
+    if (this.reachesTargets && all.every(each => each.reachesTargets)) {
+      return [];
+    }
+    const able = all.filter(
+      each =>
+        each.reachesTargets &&
+        each.state === 'ready' &&
+        (failureDomain ?? each.failureDomain) === each.failureDomain,
+    );
+    const drawn: Member[] = [];
+    while (drawn.length < MAX_LISTED_RELAYS && able.length > 0) {
+      const index = Math.floor(this.options.random.nextFloat() * able.length);
+      drawn.push(...able.splice(index, 1));
+    }
+    return drawn;
+  }
+
   private otherDomainHeads(nowMs: InstantMs): readonly Member[] {
     const hosts = new Set(this.otherHeadHosts());
     return this.directory.alive(nowMs).filter(({host}) => hosts.has(host));
@@ -556,6 +624,7 @@
       identity: this.options.identity,
       state: this.state,
       isReadFailing: this.readFailing,
+      reachesTargets: this.reachesTargets,
     };
     return assignRoles(this.directory, status, nowMs);
   }
--- a/src/fleet/fleet_node_test.ts
+++ b/src/fleet/fleet_node_test.ts
@@ -245,7 +245,8 @@
     assert.equal(heads.length, 10);
     let most = 0;
     for (const {node} of heads) {
-      for (const {message} of node.onTick(fleet.nowMs + 1_000)) {
+      // All heartbeats are due, and no member has expired yet.
+      for (const {message} of node.onTick(fleet.nowMs + 600)) {
         if (message.type === 'heartbeat') {
           most = Math.max(most, message.members.length);
         }
@@ -253,6 +254,7 @@
     }
     return most;
   };
+  assert.ok(mostListed(20) >= 12);
   assert.equal(mostListed(63), mostListed(20));
 });
 
@@ -347,3 +349,34 @@
   fleet.run(10_000);
   assert.equal(last?.node.fleetSize(fleet.nowMs), 9);
 });
+
+test('members learn the new heads when both heads are cut off from all targets', () => {
+  // Guards against heads that step back before their members know others.
+  const fleet = new SimulatedFleet(['a', 'b', 'c'], 40);
+  fleet.run(4_000);
+  const members = fleet.vms.filter(({host}) => host.startsWith('10.1.'));
+  const before = members.filter(({node}) => node.isHead);
+  assert.equal(before.length, 2);
+  before.forEach(({node}) => node.setReachesTargets(false));
+  fleet.run(1_500);
+  const heads = new Set(
+    members.map(({node}) => node.roles.localHeads.join(' ')),
+  );
+  assert.equal(heads.size, 1);
+  assert.ok(before.every(({host}) => ![...heads][0]!.includes(`${host} `)));
+  assert.equal(members.filter(({node}) => node.isHead).length, 2);
+});
+
+test('a VM of a failure domain that is cut off learns of many peers elsewhere', () => {
+  // Guards against a few heads that carry the requests of a whole domain.
+  const fleet = new SimulatedFleet(['a', 'b', 'c'], 60);
+  fleet.run(4_000);
+  const cutOff = fleet.vms.filter(({host}) => host.startsWith('10.1.'));
+  cutOff.forEach(({node}) => node.setReachesTargets(false));
+  fleet.run(2_500);
+  for (const {host, node} of cutOff) {
+    const candidates = node.relayCandidates(fleet.nowMs);
+    assert.ok(candidates.length >= 20, `${host} knows ${candidates.length}`);
+    assert.ok(candidates.every(each => each.failureDomain !== 'b'));
+  }
+});
--- a/src/fleet/fleet_roles.ts
+++ b/src/fleet/fleet_roles.ts
@@ -18,6 +18,7 @@
   readonly identity: MemberIdentity;
   readonly state: MemberState;
   readonly isReadFailing: boolean;
+  readonly reachesTargets: boolean;
 }
 
 /** Heads of one failure domain. */
@@ -57,6 +58,7 @@
     ...status.identity,
     state: status.state,
     isReadFailing: status.isReadFailing,
+    reachesTargets: status.reachesTargets,
     lastHeardMs: nowMs,
   };
   const domains = new Map<string, Member[]>();
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -43,7 +43,7 @@
       return;
     }
     const {vmId, bootId, host, failureDomain, capacityMillicores} = reported;
-    const {state, isReadFailing} = reported;
+    const {state, isReadFailing, reachesTargets} = reported;
     this.byHost.set(host, {
       vmId,
       bootId,
@@ -52,6 +52,7 @@
       capacityMillicores,
       state,
       isReadFailing,
+      reachesTargets,
       lastHeardMs,
     });
   }
@@ -99,8 +100,8 @@
   }
 
   /**
-   * Ranks the members of a failure domain for roles: ready ones first, then by
-   * capacity class, then by hash.
+   * Ranks the members of a failure domain for roles: ready ones first, then those
+   * that reach targets, then by capacity class, then by hash.
    *
    * @param members - candidates
    * @returns candidates, highest rank first
@@ -109,6 +110,7 @@
     return [...members].sort(
       (a, b) =>
         Number(b.state === 'ready') - Number(a.state === 'ready') ||
+        Number(b.reachesTargets) - Number(a.reachesTargets) ||
         capacityClass(b) - capacityClass(a) ||
         compareStrings(this.rankHashOf(a), this.rankHashOf(b)),
     );
@@ -125,7 +127,8 @@
 }
 
 /** Fields that determine the rank of a member. */
-export type RankedMember = MemberIdentity & Pick<Member, 'state'>;
+export type RankedMember = MemberIdentity &
+  Pick<Member, 'state' | 'reachesTargets'>;
 
 function capacityClass({capacityMillicores}: MemberIdentity): number {
   return Math.floor(
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -26,6 +26,8 @@
   readonly state: MemberState;
   /** True while the VM fails to read the store. */
   readonly isReadFailing: boolean;
+  /** False while the VM is cut off from all targets. */
+  readonly reachesTargets: boolean;
   /** Local instant of the last sign of life. */
   readonly lastHeardMs: InstantMs;
 }
@@ -34,6 +36,8 @@
 export interface ReportedMember extends MemberIdentity {
   readonly state: MemberState;
   readonly isReadFailing: boolean;
+  /** False while the VM is cut off from all targets. */
+  readonly reachesTargets: boolean;
   /** Time since the last sign of life. */
   readonly ageMs: number;
 }
--- a/src/load/load_board.ts
+++ b/src/load/load_board.ts
@@ -229,6 +229,14 @@
     this.records.get(targetId)?.onProbed(isReachable, nowMs);
   }
 
+  /**
+   * Discards what this VM's own attempts and probes tell about failures, because
+   * they were those of its links.
+   */
+  forgetFailures(): void {
+    this.records.forEach(record => record.forgetFailures());
+  }
+
   /** Records the load, failures and reachability that a peer observed. */
   onPeerReport(report: TargetLoadReport, nowMs: InstantMs): void {
     const {targetId, ageMs} = report;
--- a/src/load/target_record.ts
+++ b/src/load/target_record.ts
@@ -213,6 +213,13 @@
       : Math.max(share, UNREACHABLE_FAILURE_SHARE);
   }
 
+  /** Discards the failures that this VM has seen since its links failed. */
+  forgetFailures(): void {
+    this.unreachableUntilMs = -Infinity;
+    this.failures.clear();
+    this.failedCount = 0;
+  }
+
   /** Returns the report to send to peers; undefined if there is none. */
   toReport(nowMs: InstantMs): TargetLoadReport | undefined {
     const {report} = this;
--- a/src/peer_datagram/fleet_codec.ts
+++ b/src/peer_datagram/fleet_codec.ts
@@ -204,6 +204,7 @@
     MEMBER_STATES.indexOf(member.state),
     member.isReadFailing,
     member.ageMs,
+    member.reachesTargets,
   ];
 }
 
@@ -217,6 +218,7 @@
     state: unpackState(reader.number()),
     isReadFailing: reader.boolean(),
     ageMs: reader.count(),
+    reachesTargets: reader.optionalBoolean(true),
   };
 }
 
--- a/src/peer_datagram/fleet_codec_test.ts
+++ b/src/peer_datagram/fleet_codec_test.ts
@@ -19,6 +19,7 @@
     'leaving' as const,
   ),
   isReadFailing: fc.boolean(),
+  reachesTargets: fc.boolean(),
   ageMs: count,
 });
 
--- a/src/peer_datagram/wire_reader.ts
+++ b/src/peer_datagram/wire_reader.ts
@@ -85,6 +85,11 @@
     return value;
   }
 
+  /** Reads a boolean that senders of an earlier release leave out. */
+  optionalBoolean(absentValue: boolean): boolean {
+    return this.hasNext() ? this.boolean() : absentValue;
+  }
+
   /** Returns a reader for a nested array. */
   nested(): WireReader {
     return new WireReader(this.next());
--- a/src/target_http/target_protocol.ts
+++ b/src/target_http/target_protocol.ts
@@ -20,6 +20,8 @@
   readonly figures?: LoadFigures | undefined;
   /** Limit that the target names; undefined if the protocol has none. */
   readonly limit?: LimitStatement | undefined;
+  /** A peer that carried the request got no response of a target. */
+  readonly unanswered?: boolean;
   /** A target other than the intended one responded at the address. */
   readonly misdirected?: boolean;
 }
