Keep the headers of relayed requests between VMs

A caller of a VM without links to its targets got the header by which a peer marks the response of a target, and a caller's own header of that name would have been sent to a peer beside the VM's. Cause: the headers were dropped at the peer's port only. They concern one connection, so they are hop-by-hop now, in both directions and at all ports.

--- a/src/caller_http/hop_headers.ts
+++ b/src/caller_http/hop_headers.ts
@@ -10,7 +10,15 @@
   Record<string, string | readonly string[] | undefined>
 >;
 
+/** Terms of a request that a VM passes to a peer; `response` on its response. */
+export const RELAY_HEADER = 'sycamorepitch-relay';
+
+/** Time until a request that a VM passes to a peer expires, in milliseconds. */
+export const REMAINING_HEADER = 'sycamorepitch-remaining-ms';
+
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
+  RELAY_HEADER,
+  REMAINING_HEADER,
   'connection',
   'keep-alive',
   'proxy-authenticate',
--- a/src/caller_http/index.ts
+++ b/src/caller_http/index.ts
@@ -20,4 +20,9 @@
 } from './caller_protocol.js';
 export {NativeCallerProtocol} from './native_caller_protocol.js';
 export {Exchange, type Refusal} from './exchange.js';
-export {endToEndHeaders, type HeaderFields} from './hop_headers.js';
+export {
+  endToEndHeaders,
+  RELAY_HEADER,
+  REMAINING_HEADER,
+  type HeaderFields,
+} from './hop_headers.js';
--- a/src/entry/delivery_runner.ts
+++ b/src/entry/delivery_runner.ts
@@ -3,10 +3,11 @@
  *
  * @packageDocumentation
  */
-import type {
-  CallerListener,
-  CallerServer,
-  Exchange,
+import {
+  RELAY_HEADER,
+  type CallerListener,
+  type CallerServer,
+  type Exchange,
 } from '../caller_http/index.js';
 import type {Clock, InstantMs} from '../core/index.js';
 import type {
@@ -16,7 +17,7 @@
   RoutedRequest,
 } from '../delivery/index.js';
 import type {AttemptSignal} from '../engine/index.js';
-import {encodeRelayHead, RELAY_HEADER} from '../peer_relay/index.js';
+import {encodeRelayHead} from '../peer_relay/index.js';
 import type {LoadBoard} from '../load/index.js';
 import type {TargetClient, TargetResponse} from '../target_http/index.js';
 import type {EntryMetrics} from './entry_metrics.js';
@@ -221,7 +222,7 @@
         method: request.method,
         path: request.path,
         headers: [
-          ...withoutHeader(exchange.headers, RELAY_HEADER),
+          ...exchange.headers,
           RELAY_HEADER,
           encodeRelayHead(request, terms, deadlineMs),
         ],
@@ -301,13 +302,3 @@
     exchange.forward(response);
   }
 }
-
-/** Removes a field from alternating names and values. */
-function withoutHeader(
-  headers: readonly string[],
-  name: string,
-): readonly string[] {
-  return headers.filter(
-    (_, index) => headers[index - (index % 2)]?.toLowerCase() !== name,
-  );
-}
--- a/src/peer_relay/index.ts
+++ b/src/peer_relay/index.ts
@@ -7,8 +7,6 @@
 export {
   decodeRelayHead,
   encodeRelayHead,
-  RELAY_HEADER,
-  REMAINING_HEADER,
   type RelayHead,
 } from './relay_head.js';
 export {RelayTargetProtocol} from './relay_target_protocol.js';
--- a/src/peer_relay/relay_caller_protocol.ts
+++ b/src/peer_relay/relay_caller_protocol.ts
@@ -6,19 +6,15 @@
 import {err, type Result} from 'neverthrow';
 import {
   CallerProtocol,
+  RELAY_HEADER,
+  REMAINING_HEADER,
   type HeadError,
   type ReceivedBody,
   type ReceivedHead,
   type RequestBuilder,
 } from '../caller_http/index.js';
 import type {RoutedRequest} from '../delivery/index.js';
-import {
-  decodeRelayHead,
-  FORWARDED_RESPONSE,
-  parseCount,
-  RELAY_HEADER,
-  REMAINING_HEADER,
-} from './relay_head.js';
+import {decodeRelayHead, FORWARDED_RESPONSE, parseCount} from './relay_head.js';
 
 /**
  * Wraps the protocol of callers. A relayed request keeps the address of its
@@ -32,15 +28,8 @@
   /** @param callers - protocol of callers */
   constructor(private readonly callers: CallerProtocol<RoutedRequest>) {
     super();
-    this.requestHeadersDropped = new Set([
-      ...callers.requestHeadersDropped,
-      RELAY_HEADER,
-      REMAINING_HEADER,
-    ]);
-    this.responseHeadersDropped = new Set([
-      ...callers.responseHeadersDropped,
-      RELAY_HEADER,
-    ]);
+    this.requestHeadersDropped = callers.requestHeadersDropped;
+    this.responseHeadersDropped = callers.responseHeadersDropped;
   }
 
   override readHead(
--- a/src/peer_relay/relay_head.ts
+++ b/src/peer_relay/relay_head.ts
@@ -4,17 +4,11 @@
  * @packageDocumentation
  */
 import {err, ok, type Result} from 'neverthrow';
-import type {HeadError} from '../caller_http/index.js';
+import {RELAY_HEADER, type HeadError} from '../caller_http/index.js';
 import type {InstantMs} from '../core/index.js';
 import type {RelayTerms, RoutedRequest} from '../delivery/index.js';
 
-/** Terms of a request to a peer, and `response` on what the peer forwards. */
-export const RELAY_HEADER = 'sycamorepitch-relay';
-
-/** Time until the request expires, in milliseconds. */
-export const REMAINING_HEADER = 'sycamorepitch-remaining-ms';
-
-/** Value of {@link RELAY_HEADER} on the response of a target. */
+/** Value of `RELAY_HEADER` on the response of a target. */
 export const FORWARDED_RESPONSE = 'response';
 
 /** Terms of a relayed request as they are sent. */
@@ -31,7 +25,7 @@
  * @param request - request of a caller
  * @param terms - terms under which the peer may send it
  * @param expiresMs - instant at which it expires
- * @returns value of {@link RELAY_HEADER}
+ * @returns value of `RELAY_HEADER`
  */
 export function encodeRelayHead(
   {callerAddress, arrivedMs}: RoutedRequest,
@@ -50,7 +44,7 @@
 /**
  * Decodes the terms of a request.
  *
- * @param text - value of {@link RELAY_HEADER}
+ * @param text - value of `RELAY_HEADER`
  * @returns the terms, or an error that names the invalid field
  */
 export function decodeRelayHead(text: string): Result<RelayHead, HeadError> {
--- a/src/peer_relay/relay_target_protocol.ts
+++ b/src/peer_relay/relay_target_protocol.ts
@@ -3,7 +3,11 @@
  *
  * @packageDocumentation
  */
-import type {HeaderFields} from '../caller_http/index.js';
+import {
+  RELAY_HEADER,
+  REMAINING_HEADER,
+  type HeaderFields,
+} from '../caller_http/index.js';
 import {
   TargetProtocol,
   type AttemptRequest,
@@ -11,11 +15,7 @@
   type ResponseHead,
   type ResponseReport,
 } from '../target_http/index.js';
-import {
-  FORWARDED_RESPONSE,
-  RELAY_HEADER,
-  REMAINING_HEADER,
-} from './relay_head.js';
+import {FORWARDED_RESPONSE} from './relay_head.js';
 
 /** Header with the verdict of a refusal. */
 const VERDICT_HEADER = 'x-verdict';
