Let only a head that is cut off from all targets hand over

Cause: heads that were outranked for any reason, as at the start of a fleet, went on sending for 700 ms, which moved the reads of 1,000 VMs into the same second. Handing over is needed only where all heads of a domain may step back at once: when they reach no target.

--- a/src/cli/deploy_test.ts
+++ b/src/cli/deploy_test.ts
@@ -27,9 +27,13 @@
   // Days that the users' benchmark plays.
   assert.deepEqual(readdirSync(`${DEPLOY}/days`).sort(), [
     'capped.toml',
+    'leaving-unheard.toml',
     'restored-leaving.toml',
     'restored-twice.toml',
     'restored.toml',
+    'stranded-mixed.toml',
+    'stranded-zone.toml',
+    'stranded.toml',
   ]);
   for (const name of SIZES.keys()) {
     assert.deepEqual(readdirSync(`${DEPLOY}/${name}`).sort(), [
--- a/src/fleet/fleet_node.ts
+++ b/src/fleet/fleet_node.ts
@@ -43,8 +43,8 @@
 const SEED_REFRESH_MS = 3_000;
 
 /**
- * Time for which a head goes on sending to its members after others outrank it,
- * so that the members hear of those. Tolerates the loss of one heartbeat.
+ * Time for which a head that is cut off from all targets goes on sending to its
+ * members, so that they hear of its successors. Tolerates one lost heartbeat.
  */
 const HEAD_HANDOVER_MS = 700;
 
@@ -131,7 +131,7 @@
   private nextHeadHeartbeatMs: InstantMs = 0;
   private nextCrossHeartbeatMs: InstantMs = 0;
   private nextSeedHeartbeatMs: InstantMs = 0;
-  private actsAsHeadUntilMs: InstantMs = -Infinity;
+  private lastHeadMs: InstantMs = -Infinity;
   private reportedDomainSize = 0;
   private reportedDomainSizeUntilMs: InstantMs = -Infinity;
 
@@ -323,9 +323,11 @@
     const outbound: Dispatch[] = [];
     this.sendToSeeds(outbound, nowMs);
     if (this.isHead) {
-      this.actsAsHeadUntilMs = nowMs + HEAD_HANDOVER_MS;
+      this.lastHeadMs = nowMs;
     }
-    if (nowMs < this.actsAsHeadUntilMs) {
+    const isHandingOver =
+      !this.reachesTargets && nowMs - this.lastHeadMs < HEAD_HANDOVER_MS;
+    if (this.isHead || isHandingOver) {
       this.sendAsHead(outbound, nowMs);
     } else if (nowMs >= this.nextMemberHeartbeatMs) {
       this.nextMemberHeartbeatMs = nowMs + MEMBER_HEARTBEAT_MS;
