Reject entries of targets with numbers and addresses out of range

Other operators reported that one odd entry among those of the servers ended machines or kept them from following the list.

Ruled out by tests: entries 300,000 arrays deep (the parser is iterative here; where it is not, its RangeError is now an error of the document), ports out of range, numbers beyond doubles.

--- a/src/fields/field_reader.ts
+++ b/src/fields/field_reader.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import {isIPv4} from 'node:net';
 import {err, ok, type Result} from 'neverthrow';
 
 /** Error thrown for a document that does not have the documented form. */
@@ -10,6 +11,12 @@
   override readonly name = 'FieldError';
 }
 
+/** Longest duration that timers of Node.js can wait, in milliseconds. */
+const MAX_DURATION_MS = 2 ** 31 - 1;
+
+/** Addresses that name no particular host. */
+const UNSPECIFIED_ADDRESS = /^0\./;
+
 /** Milliseconds per unit of a duration. */
 const UNIT_MS: ReadonlyMap<string, number> = new Map([
   ['ms', 1],
@@ -67,11 +74,11 @@
     return value;
   }
 
-  /** Returns a non-negative integer. */
-  integer(name: string): number {
+  /** Returns a non-negative integer up to a maximum. */
+  integer(name: string, max = Number.MAX_SAFE_INTEGER): number {
     const value = this.number(name);
-    if (!Number.isSafeInteger(value)) {
-      throw this.unexpected(name, 'a whole number');
+    if (!Number.isSafeInteger(value) || value > max) {
+      throw this.unexpected(name, `a whole number of at most ${max}`);
     }
     return value;
   }
@@ -89,11 +96,14 @@
   durationMs(name: string): number {
     const [, digits, unit] =
       /^(\d+(?:\.\d+)?)(ms|s)$/.exec(this.string(name)) ?? [];
-    const unitMs = UNIT_MS.get(unit ?? '');
-    if (digits === undefined || unitMs === undefined) {
-      throw this.unexpected(name, 'a duration such as 1500ms');
+    const durationMs = Number(digits) * (UNIT_MS.get(unit ?? '') ?? NaN);
+    if (!(durationMs <= MAX_DURATION_MS)) {
+      throw this.unexpected(
+        name,
+        'a duration such as 1500ms, of 24 days at most',
+      );
     }
-    return Number(digits) * unitMs;
+    return durationMs;
   }
 
   /** Returns an address such as `10.1.0.35:8144`. */
@@ -157,28 +167,34 @@
   text: string,
   path: string,
 ): {readonly host: string; readonly port: number} {
-  const [, host, digits] =
-    /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/.exec(text) ?? [];
+  const [, host = '', digits] = /^([\d.]{7,15}):(\d{1,5})$/.exec(text) ?? [];
   const port = Number(digits);
-  if (host === undefined || port < 1 || port > 65_535) {
+  const isHost = isIPv4(host) && !UNSPECIFIED_ADDRESS.test(host);
+  if (!isHost || port < 1 || port > 65_535) {
     throw new FieldError(`${path}: expected an address such as 10.1.0.35:8144`);
   }
   return {host, port};
 }
 
 /**
- * Runs a decoder and returns its errors as a result.
+ * Runs a decoder and returns its errors as a result. A parser throws RangeError
+ * for a document that is nested too deeply.
  *
- * @param decode - decoder that throws {@link FieldError} or SyntaxError
+ * @param decode - decoder that throws {@link FieldError}, SyntaxError or
+ *     RangeError
  * @returns the decoded value, or the error message
  */
 export function tryDecode<T>(decode: () => T): Result<T, string> {
   try {
     return ok(decode());
   } catch (error) {
-    if (error instanceof FieldError || error instanceof SyntaxError) {
-      return err(error.message);
+    const isExpected =
+      error instanceof FieldError ||
+      error instanceof SyntaxError ||
+      error instanceof RangeError;
+    if (!isExpected) {
+      throw error;
     }
-    throw error;
+    return err(error.message);
   }
 }
