Pass requests to peers in the daemon for presets too

The same cause as in the entry daemon: a VM whose links to the targets are lost had no other way, so its callers got 503 and 502 while other VMs served. A daemon whose settings name a relay address now announces it by gossip while it reaches targets, and a VM that is cut off passes requests there. Detection and choice of the peer are those of src/relay. The first VM keeps the claim of an idempotency key, the peer claims nothing; what a peer refuses as not run goes to another one, what is lost there may have run. Targets are neither ejected nor requests quarantined for losses during a cut, and the probe budget stays as agreed.

--- a/src/daemon/composition_root.ts
+++ b/src/daemon/composition_root.ts
@@ -11,12 +11,14 @@
   CallerServer,
   DEFAULT_CALLER_LIMITS,
   NativeCallerProtocol,
+  type CallerLimits,
 } from '../caller_http/index.js';
 import {Clock, RandomSource, SeededRandom, SystemClock} from '../core/index.js';
 import {RequestEngine} from '../engine/index.js';
 import {GossipMembership, ownerIdOf, type Fact} from '../membership/index.js';
 import {OperatorServer} from '../operator_http/index.js';
 import {MessageStamp, PeerClient, PeerServer} from '../peer_grpc/index.js';
+import {RelayTargetProtocol} from '../peer_relay/index.js';
 import {PlatformReader} from '../platform_http/index.js';
 import {createConfigStore, createVmListStore} from '../preset/index.js';
 import {BudgetedProbeScheduler} from '../probing/index.js';
@@ -42,6 +44,7 @@
 import {PauseGuard} from './pause_guard.js';
 import {PeerService} from './peer_service.js';
 import {PeerTransport} from './peer_transport.js';
+import {RelayedRequestProtocol} from './relayed_request_protocol.js';
 import {RingEventLog} from './ring_event_log.js';
 import {WallClockStamp} from './wall_clock_stamp.js';
 import {UrgentGossip} from './urgent_gossip.js';
@@ -57,6 +60,15 @@
 const VM_LIST_STORE: ServiceIdentifier<ReturnType<typeof createVmListStore>> =
   Symbol('VmListStore');
 
+/** Size of the fields that a VM adds to the head of a relayed request. */
+const RELAY_HEAD_BYTES = 512;
+
+/** Client for requests that peers carry. */
+const PEER_CLIENT: ServiceIdentifier<TargetClient> = Symbol('PeerClient');
+
+/** Server for requests of peers. */
+const RELAY_SERVER: ServiceIdentifier<CallerServer> = Symbol('RelayServer');
+
 /** Exclusive upper bound of random seeds, which are 31-bit integers. */
 const SEED_BOUND = 2 ** 31 - 1;
 
@@ -139,6 +151,7 @@
         createScheduler: schedulerOptions =>
           new BudgetedProbeScheduler(schedulerOptions),
         quarantine: get(CrashQuarantine),
+        relayAddress: settings.relay,
       }),
   );
 }
@@ -153,6 +166,13 @@
         protocol: new NativeTargetProtocol(),
       }),
   );
+  container.bind(PEER_CLIENT).toDynamicValue(
+    ({get}) =>
+      new TargetClient({
+        clock: get(Clock),
+        protocol: new RelayTargetProtocol(),
+      }),
+  );
   container.bind(ClaimRouter).toDynamicValue(
     ({get}) =>
       new ClaimRouter({
@@ -175,6 +195,7 @@
       clock: get(Clock),
       engine: get(RequestEngine),
       targets: get(TargetClient),
+      peers: get(PEER_CLIENT),
       claims: get(ClaimRouter),
       events: get(EventLog),
       metrics: get(DaemonMetrics),
@@ -185,28 +206,45 @@
       },
     });
   });
+  const limits = callerLimitsOf(settings);
   container.bind(CallerServer).toDynamicValue(({get}) => {
     const runner = get(EffectRunner);
-    const {caller} = settings;
     const server = new CallerServer({
       clock: get(Clock),
-      limits: {
-        ...DEFAULT_CALLER_LIMITS,
-        maxHeadBytes: caller.maxHeaderBytes,
-        maxBodyBytes: caller.maxBodyBytes,
-        requestTimeoutMs: caller.requestTimeoutMs,
-        headTimeoutMs: Math.min(
-          caller.requestTimeoutMs,
-          DEFAULT_CALLER_LIMITS.headTimeoutMs,
-        ),
-        idleTimeoutMs: caller.idleTimeoutMs,
-      },
+      limits,
       protocol: new NativeCallerProtocol(),
       listener: runner,
     });
     runner.attach(server);
     return server;
   });
+  container.bind(RELAY_SERVER).toDynamicValue(({get}) => {
+    const runner = get(EffectRunner);
+    const maxHeadBytes = limits.maxHeadBytes + RELAY_HEAD_BYTES;
+    const server = new CallerServer({
+      clock: get(Clock),
+      limits: {...limits, maxHeadBytes},
+      protocol: new RelayedRequestProtocol(),
+      listener: runner,
+      requestIdPrefix: 'p',
+    });
+    runner.attach(server);
+    return server;
+  });
+}
+
+function callerLimitsOf({caller}: DaemonSettings): CallerLimits {
+  return {
+    ...DEFAULT_CALLER_LIMITS,
+    maxHeadBytes: caller.maxHeaderBytes,
+    maxBodyBytes: caller.maxBodyBytes,
+    requestTimeoutMs: caller.requestTimeoutMs,
+    headTimeoutMs: Math.min(
+      caller.requestTimeoutMs,
+      DEFAULT_CALLER_LIMITS.headTimeoutMs,
+    ),
+    idleTimeoutMs: caller.idleTimeoutMs,
+  };
 }
 
 /** Binds the components that read and distribute the platform's documents. */
@@ -267,6 +305,8 @@
         runner: get(EffectRunner),
         targets: get(TargetClient),
         callers: get<CallerServer>(CallerServer),
+        peers: get(PEER_CLIENT),
+        relayServer: get(RELAY_SERVER),
         createOperator: view => new OperatorServer(view),
         metrics: get(DaemonMetrics),
         events: get(EventLog),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -70,6 +70,8 @@
       targetConnections: () => this.parts.targets.connectionCount,
       members: () => membership.members().length,
       claimRecords: () => this.parts.claimTable.summary().recordCount,
+      cutOffSeconds: () =>
+        this.parts.engine.cutOffMs(this.parts.clock.nowMs()) / 1000,
     });
     const bound = await this.parts.peerServer.start();
     if (bound.isErr()) {
@@ -78,6 +80,12 @@
     const operatorPort = await listenOn('operator', settings.operator, () =>
       this.operator.listen(settings.operator),
     );
+    const {relay} = settings;
+    if (relay !== undefined) {
+      await listenOn('relay', relay, () =>
+        this.parts.relayServer.listen(relay),
+      );
+    }
     const callerPort = await listenOn('caller', settings.caller, () =>
       callers.listen(settings.caller),
     );
@@ -192,6 +200,7 @@
     this.tickCount += 1;
     if (this.tickCount % CONNECTION_CHECK_TICKS === 0) {
       targets.tick();
+      this.parts.peers.tick();
     }
   }
 
@@ -308,9 +317,13 @@
     );
     events.record('process', 'leaving', {});
     this.state = 'leaving';
+    const {runner, engine, relayServer} = this.parts;
+    runner.feed(() => engine.stopCarrying());
     await new PlannedShutdown(this.parts).run();
     // Immediately, so that no further request is read and sent to a target.
     callers.destroy();
+    relayServer.destroy();
+    this.parts.peers.close();
     this.timers.forEach(clearInterval);
     this.parts.targets.close();
     this.operator.close();
--- a/src/daemon/daemon_metrics.ts
+++ b/src/daemon/daemon_metrics.ts
@@ -13,6 +13,7 @@
   readonly targetConnections: () => number;
   readonly members: () => number;
   readonly claimRecords: () => number;
+  readonly cutOffSeconds: () => number;
 }
 
 /** Counters and gauges of one daemon. */
@@ -23,6 +24,11 @@
     'Requests of callers that were read as a whole, by service',
     ['service'],
   );
+  private readonly relays = this.createCounter(
+    'relays_total',
+    'Requests passed on by a VM without links to targets, from or to this VM',
+    ['direction'],
+  );
   private readonly outcomes = this.createCounter(
     'outcomes_total',
     'Answers to callers, by verdict and reason; answered: response of a target',
@@ -71,6 +77,11 @@
       'VMs in the table of this VM, dead ones included (count)',
       sources.members,
     );
+    this.registerGauge(
+      'cut_off_seconds',
+      'Time for which this VM has reached no target; 0 while it does',
+      sources.cutOffSeconds,
+    );
     this.registerGauge(
       'claim_records',
       'Records of idempotency keys kept as home VM (count)',
@@ -107,6 +118,16 @@
     this.signals.add(signal);
   }
 
+  /** Counts a request that a peer passed to this VM. */
+  onRequestOfPeer(): void {
+    this.relays.add('from-peer');
+  }
+
+  /** Counts a request that this VM passes to a peer. */
+  onRelay(): void {
+    this.relays.add('to-peer');
+  }
+
   /** Counts a probe of a target. */
   onProbe(service: string): void {
     this.probes.add(service);
--- a/src/daemon/daemon_parts.ts
+++ b/src/daemon/daemon_parts.ts
@@ -47,6 +47,10 @@
   readonly runner: EffectRunner;
   readonly targets: TargetClient;
   readonly callers: CallerServer;
+  /** Client for requests that peers carry. */
+  readonly peers: TargetClient;
+  /** Server for requests of peers; listens only if the settings name it. */
+  readonly relayServer: CallerServer;
   readonly createOperator: (view: OperatorView) => OperatorServer;
   readonly metrics: DaemonMetrics;
   readonly events: EventLog;
--- a/src/daemon/effect_runner.ts
+++ b/src/daemon/effect_runner.ts
@@ -30,11 +30,16 @@
 /** Connection limit of probes of a target that was sent no request yet. */
 const DEFAULT_PROBE_CONNECTIONS = 1;
 
+/** Most connections to one peer that carries requests. */
+const MAX_PEER_CONNECTIONS = 64;
+
 /** Options of {@link EffectRunner}. */
 export interface EffectRunnerOptions {
   readonly clock: Clock;
   readonly engine: RequestEngine;
   readonly targets: TargetClient;
+  /** Client for requests that peers carry. */
+  readonly peers: TargetClient;
   readonly claims: ClaimRouter;
   readonly events: EventLog;
   readonly metrics: DaemonMetrics;
@@ -61,7 +66,7 @@
   private readonly maxConnections = new Map<string, number>();
   private readonly loadProbe: LoadProbe;
   private isRunning = false;
-  private server: CallerServer | undefined;
+  private readonly servers: CallerServer[] = [];
 
   /** @param options - engine, adapters, event log and metrics */
   constructor(private readonly options: EffectRunnerOptions) {
@@ -69,9 +74,9 @@
     this.loadProbe = new LoadProbe({clock, client: targets});
   }
 
-  /** Sets the server that answers callers. */
+  /** Adds a server whose requests this runner answers. */
   attach(server: CallerServer): void {
-    this.server = server;
+    this.servers.push(server);
   }
 
   /**
@@ -96,7 +101,11 @@
   onRequest(exchange: Exchange): void {
     const {engine, metrics} = this.options;
     const {request} = exchange;
-    metrics.onRequest(request.service);
+    if (request.isRelayed === true) {
+      metrics.onRequestOfPeer();
+    } else {
+      metrics.onRequest(request.service);
+    }
     if (!this.feed(nowMs => engine.onRequest(request, nowMs))) {
       // The state of the request is unknown, so the verdict must not be
       // not-run.
@@ -141,13 +150,17 @@
   }
 
   private execute(effect: Effect): void {
-    const {engine, claims, events, targets} = this.options;
+    const {engine, claims, events, targets, peers} = this.options;
     switch (effect.type) {
       case 'send':
         this.send(effect);
         return;
+      case 'relay':
+        this.relay(effect);
+        return;
       case 'cancel':
         targets.cancel(effect.token);
+        peers.cancel(effect.token);
         return;
       case 'claim':
         claims.claim(effect.homeVmId, effect.claim, reply =>
@@ -173,18 +186,11 @@
   }
 
   private send(effect: EffectOf<'send'>): void {
-    const {targets, engine} = this.options;
+    const {targets} = this.options;
     const {token, requestId, targetId, host, port, maxConnections} = effect;
-    const exchange = this.server?.find(requestId);
+    const exchange = this.find(requestId);
     if (exchange === undefined) {
-      // The caller disconnected while the effect was queued.
-      this.feed(nowMs =>
-        engine.onAttemptSignal(
-          token,
-          {type: 'cancelled', bytesSent: false},
-          nowMs,
-        ),
-      );
+      this.reportCallerGone(token);
       return;
     }
     this.maxConnections.set(targetId, maxConnections);
@@ -207,6 +213,50 @@
     });
   }
 
+  /** Passes a request to a peer. */
+  private relay(effect: EffectOf<'relay'>): void {
+    const {token, requestId, host, port, freshness, deadlineMs} = effect;
+    const exchange = this.find(requestId);
+    if (exchange === undefined) {
+      this.reportCallerGone(token);
+      return;
+    }
+    this.options.metrics.onRelay();
+    this.options.peers.send({
+      target: {targetId: host, host, port},
+      maxConnections: MAX_PEER_CONNECTIONS,
+      request: {
+        token,
+        method: exchange.request.method,
+        path: exchange.request.path,
+        headers: exchange.headers,
+        body: exchange.body,
+        freshness,
+        deadlineMs,
+        silenceLimitMs: undefined,
+      },
+      listener: (signal, response) => {
+        this.onSignal(token, requestId, signal, response);
+      },
+    });
+  }
+
+  /** Reports an attempt whose caller disconnected before it was sent. */
+  private reportCallerGone(token: string): void {
+    const signal = {type: 'cancelled', bytesSent: false} as const;
+    this.feed(nowMs =>
+      this.options.engine.onAttemptSignal(token, signal, nowMs),
+    );
+  }
+
+  private find(requestId: string): Exchange | undefined {
+    return this.serverOf(requestId)?.find(requestId);
+  }
+
+  private serverOf(requestId: string): CallerServer | undefined {
+    return this.servers.find(each => each.find(requestId) !== undefined);
+  }
+
   private onSignal(
     token: string,
     requestId: string,
@@ -236,7 +286,7 @@
       }
     }
     this.runQueue();
-    if (response !== undefined && this.server?.find(requestId) === undefined) {
+    if (response !== undefined && this.find(requestId) === undefined) {
       this.discardResponses(requestId);
     }
   }
@@ -252,7 +302,9 @@
       this.responses.delete(outcome.token);
     }
     this.options.metrics.onOutcome(outcome);
-    this.server?.respond(requestId, outcome, response);
+    // Any server discards the response to a caller that has disconnected.
+    const server = this.serverOf(requestId) ?? this.servers[0];
+    server?.respond(requestId, outcome, response);
     this.discardResponses(requestId);
   }
 
--- a/src/daemon/effect_runner_test.ts
+++ b/src/daemon/effect_runner_test.ts
@@ -10,6 +10,7 @@
 } from '../caller_http/index.js';
 import {ManualClock} from '../core/index.js';
 import type {
+  CallerRequest,
   AttemptSignal,
   Effect,
   RequestEngine,
@@ -70,6 +71,7 @@
       },
       cancel: (token: string) => cancelled.push(token),
     } as unknown as TargetClient,
+    peers: {cancel: () => undefined} as unknown as TargetClient,
     claims: {} as ClaimRouter,
     events: {} as EventLog,
     metrics: new DaemonMetrics(),
@@ -89,7 +91,7 @@
   });
   runner.attach(server);
   const open = (requestId: string): Exchange => {
-    const request = {
+    const request: CallerRequest = {
       requestId,
       service: 's',
       method: 'GET',
--- a/src/daemon/listen_error.ts
+++ b/src/daemon/listen_error.ts
@@ -5,7 +5,7 @@
  */
 
 /** Key of a listen address in the settings. */
-export type ListenerName = 'caller' | 'operator' | 'peer';
+export type ListenerName = 'caller' | 'operator' | 'peer' | 'relay';
 
 /** Explanations of common error codes of `listen` for operators. */
 const REASONS_BY_CODE: Readonly<Record<string, string>> = {
--- a/src/daemon/planned_shutdown.ts
+++ b/src/daemon/planned_shutdown.ts
@@ -36,6 +36,7 @@
   | 'settings'
   | 'clock'
   | 'callers'
+  | 'relayServer'
   | 'engine'
   | 'claims'
   | 'home'
@@ -74,20 +75,23 @@
 
   /** Signals the shutdown to callers, waits, and closes the caller port. */
   private async closeCallerPort(): Promise<void> {
-    const {settings, callers} = this.parts;
+    const {settings, callers, relayServer} = this.parts;
     callers.beginDrain();
+    relayServer.beginDrain();
     await sleep(settings.leaveDelayMs);
     await this.waitForQuiet();
     callers.stopListening();
+    relayServer.stopListening();
     await sleep(LINGER_MS);
   }
 
   /** Waits until no request and no settlement is open. */
   private async finishOpenRequests(): Promise<void> {
-    const {callers, engine, claims} = this.parts;
+    const {callers, relayServer, engine, claims} = this.parts;
     await waitUntil(
       () =>
         callers.openCount === 0 &&
+        relayServer.openCount === 0 &&
         engine.inFlightCount() === 0 &&
         claims.openSettlementCount === 0,
     );
--- a/src/daemon/planned_shutdown_test.ts
+++ b/src/daemon/planned_shutdown_test.ts
@@ -21,6 +21,11 @@
       beginDrain: () => undefined,
       stopListening: () => undefined,
     },
+    relayServer: {
+      openCount: 0,
+      beginDrain: () => undefined,
+      stopListening: () => undefined,
+    },
     engine: {inFlightCount: () => 0},
     claims: {openSettlementCount: 0, addressOf: () => undefined},
     home: {
--- a/src/engine/active_request.ts
+++ b/src/engine/active_request.ts
@@ -55,7 +55,13 @@
   readonly verdicts: Verdict[] = [];
   /** Targets at which an attempt of this request failed. */
   readonly failedTargetIds: string[] = [];
+  /** Targets that could not be reached. */
+  unreachableCount = 0;
+  /** Peers that have refused the request or could not be reached. */
+  readonly triedPeers: string[] = [];
   attempt: Attempt | undefined;
+  /** Peer of the current attempt; undefined while it is at a target. */
+  attemptPeer: string | undefined;
   claim: ActiveClaim | undefined;
   /** True once the home VM has granted a claim. */
   claimGranted = false;
@@ -90,7 +96,9 @@
 
   /** True if the request may run only after its home VM grants a claim. */
   get needsClaim(): boolean {
-    return !this.kind.idempotent && this.caller.idempotencyKey !== undefined;
+    const {idempotencyKey, isRelayed} = this.caller;
+    const hasKey = idempotencyKey !== undefined && isRelayed !== true;
+    return !this.kind.idempotent && hasKey;
   }
 
   /** True if the request may run only on the long lane. */
--- a/src/engine/attempt_flow.ts
+++ b/src/engine/attempt_flow.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type {InstantMs} from '../core/index.js';
+import type {RelayOutcome} from '../relay/index.js';
 import {Attempt, decideRetry, type RetryCost} from '../retries/index.js';
 import type {AttemptOutcome} from '../routing/index.js';
 import type {ActiveRequest} from './active_request.js';
@@ -89,6 +90,36 @@
     });
   }
 
+  /** Passes a request that is no longer queued to a peer. */
+  startAtPeer(request: ActiveRequest, vmId: string): void {
+    const address = this.context.relayAddresses.get(vmId);
+    if (address === undefined) {
+      request.triedPeers.push(vmId);
+      this.requeue(request);
+      return;
+    }
+    const token = this.context.nextToken();
+    const attempt = new Attempt({token, targetId: `vm ${vmId}`});
+    request.attempt = attempt;
+    request.attemptPeer = vmId;
+    this.context.attempts.set(token, request);
+    this.context.relays.peers.onStarted(vmId);
+    attempt.connect();
+    this.context.emit({
+      type: 'relay',
+      token,
+      requestId: request.caller.requestId,
+      host: address.host,
+      port: address.port,
+      freshness: request.kind.idempotent ? 'any' : 'proven',
+      deadlineMs: request.deadlineMs,
+    });
+    this.context.emitEvent('request', 'relayed', {
+      requestId: request.caller.requestId,
+      peer: vmId,
+    });
+  }
+
   /**
    * Applies a signal of the adapter to its attempt.
    *
@@ -105,7 +136,13 @@
       this.onLateSignal(token, signal);
       return undefined;
     }
-    this.onRunningSignal({request, attempt}, signal, nowMs);
+    const running = {request, attempt};
+    if (request.attemptPeer !== undefined && signal.type !== 'sent') {
+      this.onPeerSignal(running, request.attemptPeer, signal, nowMs);
+      return request.service;
+    }
+    this.recordReachability(running, signal, nowMs);
+    this.onRunningSignal(running, signal, nowMs);
     return request.service;
   }
 
@@ -121,6 +158,9 @@
     }
     if (outcome === 'timed-out') {
       observeUnfinished({request, attempt}, nowMs);
+      if (request.attemptPeer === undefined) {
+        this.context.reachability.onFailed(attempt.targetId, nowMs);
+      }
     }
     attempt.cancel({bytesSent: false});
     this.context.emit({type: 'cancel', token: attempt.token});
@@ -144,6 +184,58 @@
     });
   }
 
+  /** Records what a signal tells about the links of this VM. */
+  private recordReachability(
+    {request, attempt}: RunningAttempt,
+    signal: AttemptSignal,
+    nowMs: InstantMs,
+  ): void {
+    const {reachability} = this.context;
+    if (signal.type === 'response') {
+      reachability.onReached(attempt.targetId, nowMs);
+    } else if (signal.type === 'unreachable' || signal.type === 'lost') {
+      reachability.onFailed(attempt.targetId, nowMs);
+      request.unreachableCount += Number(signal.type === 'unreachable');
+    }
+  }
+
+  /** Handles the end of an attempt that a peer carried. */
+  private onPeerSignal(
+    running: RunningAttempt,
+    vmId: string,
+    signal: Exclude<AttemptSignal, {type: 'sent'}>,
+    nowMs: InstantMs,
+  ): void {
+    const {request, attempt} = running;
+    const isResponse = signal.type === 'response';
+    const isAnswered =
+      isResponse && !signal.refused && signal.unanswered !== true;
+    if (isAnswered) {
+      attempt.complete();
+    } else if (isResponse && signal.refused) {
+      attempt.refuse();
+    } else if (signal.type === 'unreachable') {
+      attempt.failConnection();
+    } else if (signal.type === 'cancelled') {
+      attempt.cancel({bytesSent: signal.bytesSent});
+    } else {
+      attempt.lose();
+    }
+    const isNotRun = attempt.verdict === 'not-run';
+    this.finish(running, 'cancelled', nowMs);
+    request.triedPeers.push(vmId);
+    if (isAnswered) {
+      const {token} = attempt;
+      this.completion.respond(request, {type: 'response', token});
+    } else if (request.isClosedToCaller) {
+      this.completion.closeIfDone(request);
+    } else if (isNotRun) {
+      this.requeue(request);
+    } else {
+      this.completion.refuse(request, 'connection-lost');
+    }
+  }
+
   private onRunningSignal(
     running: RunningAttempt,
     signal: AttemptSignal,
@@ -234,7 +326,9 @@
   ): void {
     // Neither a request that crashes targets nor a silent connection may cause
     // the ejection of a target.
-    const wasImplicated = signal.crashed && this.onCrash(running, nowMs);
+    const {isCutOff} = this.context.reachability;
+    const wasImplicated =
+      signal.crashed && !isCutOff && this.onCrash(running, nowMs);
     const isTargetFault = !wasImplicated && signal.silent !== true;
     running.attempt.lose();
     this.finish(running, isTargetFault ? 'lost' : 'cancelled', nowMs);
@@ -290,8 +384,14 @@
     request.verdicts.push(attempt.verdict);
     request.attempt = undefined;
     this.context.attempts.delete(attempt.token);
-    request.service.removeAttempt(attempt.targetId, request);
-    request.service.pool.onFinished(attempt.targetId, outcome, nowMs);
+    const peer = request.attemptPeer;
+    if (peer === undefined) {
+      request.service.removeAttempt(attempt.targetId, request);
+      request.service.pool.onFinished(attempt.targetId, outcome, nowMs);
+    } else {
+      request.attemptPeer = undefined;
+      this.context.relays.peers.onEnded(peer, relayOutcomeOf(attempt), nowMs);
+    }
     if (outcome !== 'answered') {
       this.context.emitEvent('attempt', 'attempt-failed', {
         token: attempt.token,
@@ -405,3 +505,18 @@
     reserve: isLowestWorth ? LOWEST_WORTH_RESERVE : 0,
   };
 }
+
+/** Returns how an ended attempt at a peer counts for that peer. */
+function relayOutcomeOf({state}: Attempt): RelayOutcome {
+  switch (state) {
+    case 'answered':
+      return 'carried';
+    case 'refused':
+      return 'refused';
+    case 'cancelled-sent':
+    case 'cancelled-unsent':
+      return 'withdrawn';
+    default:
+      return 'failed';
+  }
+}
--- a/src/engine/dispatcher.ts
+++ b/src/engine/dispatcher.ts
@@ -28,6 +28,7 @@
 /** Result of the search for a target for a waiting request. */
 type Placement =
   | {readonly type: 'target'; readonly target: ServiceTarget}
+  | {readonly type: 'peer'; readonly vmId: string}
   | {readonly type: 'full'}
   /** All targets outside the long lane are full; wait for one. */
   | {readonly type: 'outside-full'}
@@ -85,6 +86,9 @@
       if (placement.type === 'target') {
         service.queue.take(request, nowMs);
         this.attempts.start(request, placement.target, nowMs);
+      } else if (placement.type === 'peer') {
+        service.queue.take(request, nowMs);
+        this.attempts.startAtPeer(request, placement.vmId);
       } else if (placement.type === 'outside-full') {
         isOutsideFull = true;
       } else if (placement.type === 'full') {
@@ -104,9 +108,10 @@
 
   /** Finds a target; removes and refuses a request that must not be sent. */
   private findPlacement(request: ActiveRequest, nowMs: InstantMs): Placement {
-    const reason = this.findSendRefusal(request, nowMs);
+    const reason =
+      this.findSendRefusal(request, nowMs) ?? this.findRelayRefusal(request);
     const placement =
-      reason === undefined ? this.chooseTarget(request, nowMs) : undefined;
+      reason === undefined ? this.choosePlacement(request, nowMs) : undefined;
     if (placement !== undefined && placement.type !== 'none') {
       return placement;
     }
@@ -119,6 +124,29 @@
     return {type: 'none'};
   }
 
+  /** Chooses a peer if this VM reaches no target, else a target. */
+  private choosePlacement(request: ActiveRequest, nowMs: InstantMs): Placement {
+    const {unreachableCount, triedPeers: triedHosts} = request;
+    const decision =
+      request.caller.isRelayed === true
+        ? undefined
+        : this.context.relays.decide({unreachableCount, triedHosts}, nowMs);
+    switch (decision?.type) {
+      case 'relay':
+        return {type: 'peer', vmId: decision.host};
+      case 'give-up':
+        return {type: 'none'};
+      default:
+        return this.chooseTarget(request, nowMs);
+    }
+  }
+
+  /** A relayed request must not be passed on once more. */
+  private findRelayRefusal({caller}: ActiveRequest): RefusalReason | undefined {
+    const {isCutOff} = this.context.reachability;
+    return caller.isRelayed === true && isCutOff ? 'cut-off' : undefined;
+  }
+
   /** Returns why a request must not be sent; undefined if it may be. */
   private findSendRefusal(
     request: ActiveRequest,
--- a/src/engine/engine_context.ts
+++ b/src/engine/engine_context.ts
@@ -7,6 +7,12 @@
 import type {Preset, VmListDocument} from '../preset/index.js';
 import type {ProbeScheduler} from '../probing/index.js';
 import {RequestQuarantine, type CrashQuarantine} from '../recovery/index.js';
+import {
+  RelayPeers,
+  RelayPolicy,
+  TargetReachability,
+  type RelayCandidate,
+} from '../relay/index.js';
 import type {TargetPool} from '../routing/index.js';
 import type {EventPart} from '../timeline/index.js';
 import type {ActiveRequest} from './active_request.js';
@@ -14,6 +20,12 @@
 import type {ServiceState} from './service_state.js';
 import type {Effect} from './types.js';
 
+/**
+ * Time within which targets must respond to end a cut. Only the probes of the
+ * agreed budget look for them, which may be few.
+ */
+const REACHED_WINDOW_MS = 5_000;
+
 /** Identity, random source and dependencies of the engine. */
 export interface RequestEngineOptions {
   readonly vmId: string;
@@ -33,6 +45,14 @@
     readonly startMs: InstantMs;
   }) => ProbeScheduler;
   readonly quarantine: CrashQuarantine;
+  /** Address at which this VM carries requests of peers; undefined for none. */
+  readonly relayAddress?: RelayAddress | undefined;
+}
+
+/** Address for requests that peers pass on. */
+export interface RelayAddress {
+  readonly host: string;
+  readonly port: number;
 }
 
 /**
@@ -50,6 +70,12 @@
   readonly services = new Map<string, ServiceState>();
   readonly deadlines = new DeadlineWheel<ActiveRequest>();
   readonly quarantine: RequestQuarantine;
+  readonly reachability = new TargetReachability({
+    reachedWindowMs: REACHED_WINDOW_MS,
+  });
+  readonly relays: RelayPolicy;
+  /** Addresses of the peers that reach targets, by VM. */
+  readonly relayAddresses = new Map<string, RelayAddress>();
   preset: Preset | undefined;
   vmList: VmListDocument | undefined;
   readyVmIds: readonly string[] = [];
@@ -63,6 +89,40 @@
     this.options = options;
     this.quarantine = new RequestQuarantine(options.quarantine);
     this.liveVmIds = [options.vmId];
+    const {failureDomain, random} = options;
+    this.relays = new RelayPolicy({
+      reachability: this.reachability,
+      random,
+      peers: new RelayPeers({
+        failureDomain,
+        random,
+        candidates: () => this.relayCandidates(),
+      }),
+    });
+  }
+
+  /** Lists the ready peers that reach targets; their host is the VM's id. */
+  private relayCandidates(): readonly RelayCandidate[] {
+    if (this.options.relayAddress === undefined) {
+      return [];
+    }
+    const domains = new Map(
+      this.vmList?.vms.map(({id, failureDomain}) => [id, failureDomain]),
+    );
+    return this.readyVmIds
+      .filter(
+        vmId => vmId !== this.options.vmId && this.relayAddresses.has(vmId),
+      )
+      .map(vmId => ({host: vmId, failureDomain: domains.get(vmId) ?? ''}));
+  }
+
+  /** Number of listed targets of all services. */
+  get targetCount(): number {
+    let count = 0;
+    for (const {targets} of this.services.values()) {
+      count += targets.size;
+    }
+    return count;
   }
 
   /** Adds an effect of the current input. */
--- a/src/engine/engine_fixture.ts
+++ b/src/engine/engine_fixture.ts
@@ -293,10 +293,11 @@
  * Creates an engine of VM `e-01` without preset and VM list.
  *
  * @param seed - seed of the random source
+ * @param relayPort - port for requests of peers; undefined for none
  * @returns the engine
  * @internal
  */
-export function fixtureEngine(seed: number): RequestEngine {
+export function fixtureEngine(seed: number, relayPort?: number): RequestEngine {
   return new RequestEngine({
     vmId: 'e-01',
     incarnationId: 'e-01/b1',
@@ -305,13 +306,18 @@
     createPool: () => new FixturePool(),
     createScheduler: ({startMs}) => new FixtureScheduler(startMs),
     quarantine: new FixtureQuarantine(),
+    relayAddress:
+      relayPort === undefined
+        ? undefined
+        : {host: '127.0.0.1', port: relayPort},
   });
 }
 
 /**
  * Creates an engine with preset, VM list and three ready VMs.
  *
- * @param options - `seed`; `targetCount`; `nowMs`: first instant
+ * @param options - `seed`; `targetCount`; `nowMs`: first instant; `relayPort`:
+ *     port for requests of peers
  * @returns the engine
  * @internal
  */
@@ -319,9 +325,10 @@
   readonly seed: number;
   readonly targetCount: number;
   readonly nowMs: InstantMs;
+  readonly relayPort?: number;
 }): RequestEngine {
-  const {seed, targetCount, nowMs} = options;
-  const engine = fixtureEngine(seed);
+  const {seed, targetCount, nowMs, relayPort} = options;
+  const engine = fixtureEngine(seed, relayPort);
   engine.applyPreset(fixturePreset(), nowMs);
   engine.applyVmList({vms: fixtureTargets(targetCount)}, nowMs);
   const readyVmIds = ['e-01', 'e-02', 'e-03'];
--- a/src/engine/peer_facts.ts
+++ b/src/engine/peer_facts.ts
@@ -9,11 +9,19 @@
 import type {EngineContext} from './engine_context.js';
 import type {ServiceState} from './service_state.js';
 
+/** Key of the fact with the address at which a VM carries requests. */
+export const RELAY_FACT = 'relay';
+
 const countSchema = z.number().int().nonnegative();
 
 /** Requests in flight, and age of the report at publication in ms. */
 const reportSchema = z.tuple([countSchema, z.number().nonnegative()]);
 
+const relaySchema = z.object({
+  host: z.union([z.ipv4(), z.ipv6()]),
+  port: z.number().int().min(1).max(65_535),
+});
+
 const targetIdsSchema = z.array(z.string());
 
 /**
@@ -40,7 +48,9 @@
     }
     const [topic, subject] = splitKey(fact.key);
     const value = parseJson(fact.value);
-    if (fact.value === '') {
+    if (topic === RELAY_FACT) {
+      this.onRelayAddress(fact, value);
+    } else if (fact.value === '') {
       // Deleting a report, drain signal or implication reverts nothing.
       return;
     } else if (topic === 'report') {
@@ -85,6 +95,20 @@
       );
   }
 
+  /** Records where a peer carries requests; an empty value withdraws it. */
+  private onRelayAddress(fact: Fact, value: unknown): void {
+    const [vmId] = splitKey(fact.ownerId);
+    const parsed = relaySchema.safeParse(value);
+    if (parsed.success) {
+      this.context.relayAddresses.set(vmId, parsed.data);
+      return;
+    }
+    this.context.relayAddresses.delete(vmId);
+    if (fact.value !== '') {
+      this.reject(fact);
+    }
+  }
+
   private onDrain(targetId: string, nowMs: InstantMs): void {
     const service: ServiceState | undefined =
       this.context.serviceOfTarget(targetId);
--- a/src/engine/request_engine.ts
+++ b/src/engine/request_engine.ts
@@ -12,11 +12,15 @@
 import {ClaimFlow} from './claim_flow.js';
 import {Completion} from './completion.js';
 import {Dispatcher} from './dispatcher.js';
-import {EngineContext, type RequestEngineOptions} from './engine_context.js';
+import {
+  EngineContext,
+  type RelayAddress,
+  type RequestEngineOptions,
+} from './engine_context.js';
 import {type EngineStatus, readStatus} from './engine_status.js';
 import {Expiry} from './expiry.js';
 import {FactPublisher} from './fact_publisher.js';
-import {PeerFacts} from './peer_facts.js';
+import {PeerFacts, RELAY_FACT} from './peer_facts.js';
 import {ServiceState} from './service_state.js';
 import type {
   AttemptSignal,
@@ -52,6 +56,7 @@
   private readonly expiry: Expiry;
   private readonly publisher: FactPublisher;
   private readonly peerFacts: PeerFacts;
+  private hasPublishedRelay = false;
 
   /**
    * @param options - identity of the VM, random source and the modules that
@@ -221,6 +226,7 @@
   ): readonly Effect[] {
     this.handlePause(nowMs);
     const state = this.context.services.get(service);
+    this.context.reachability.onReached(report.targetId, nowMs);
     state?.onReport(report, 'probe', nowMs);
     this.dispatchOne(state, nowMs);
     return this.context.takeEffects();
@@ -249,6 +255,7 @@
   onTick(nowMs: InstantMs): readonly Effect[] {
     this.handlePause(nowMs);
     this.expiry.expireDue(nowMs);
+    this.checkReachability(nowMs);
     this.dispatchAll(nowMs);
     this.probeAll(nowMs);
     this.publisher.publishIfDue(nowMs);
@@ -264,6 +271,26 @@
     return this.context.requests.size;
   }
 
+  /**
+   * Returns the time for which this VM has reached no target.
+   *
+   * @param nowMs - current instant in milliseconds
+   * @returns milliseconds; 0 while it reaches targets
+   */
+  cutOffMs(nowMs: InstantMs): number {
+    return nowMs - (this.context.reachability.cutOffSinceMs ?? nowMs);
+  }
+
+  /**
+   * Begins a planned shutdown: peers pass no further requests to this VM.
+   *
+   * @returns effects to carry out
+   */
+  stopCarrying(): readonly Effect[] {
+    this.publishRelayAddress(undefined);
+    return this.context.takeEffects();
+  }
+
   /**
    * Returns the state for the status page.
    *
@@ -288,6 +315,36 @@
     this.expiry.expireDue(nowMs);
   }
 
+  /** Finds out whether this VM reaches targets, and tells its peers. */
+  private checkReachability(nowMs: InstantMs): void {
+    const {reachability, options, targetCount} = this.context;
+    if (!this.hasPublishedRelay) {
+      this.publishRelayAddress(options.relayAddress);
+    }
+    const change = reachability.update(targetCount, nowMs);
+    if (change === undefined) {
+      return;
+    }
+    const isCutOff = change.type === 'cut-off';
+    this.publishRelayAddress(isCutOff ? undefined : options.relayAddress);
+    // The failures of the targets were those of this VM's links.
+    for (const service of this.context.services.values()) {
+      service.pool.onPause(nowMs);
+    }
+    const sinceMs = isCutOff ? nowMs : change.cutOffSinceMs;
+    const durationMs = Math.round(nowMs - sinceMs);
+    this.context.emitEvent('target', change.type, {durationMs});
+  }
+
+  /** Tells peers where this VM carries requests; undefined for nowhere. */
+  private publishRelayAddress(address: RelayAddress | undefined): void {
+    if (this.context.options.relayAddress !== undefined) {
+      const value = address === undefined ? '' : JSON.stringify(address);
+      this.context.emit({type: 'publish', key: RELAY_FACT, value});
+    }
+    this.hasPublishedRelay = true;
+  }
+
   private addService(name: string, nowMs: InstantMs): void {
     const {vmId, failureDomain, createPool, createScheduler} =
       this.context.options;
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -28,6 +28,8 @@
   readonly attempt: number | undefined;
   /** Deadline set by the caller; undefined for the kind's default. */
   readonly deadlineMs: InstantMs | undefined;
+  /** True if a peer passed the request on, which holds its claim, if any. */
+  readonly isRelayed?: boolean;
 }
 
 /** Reason why a caller gets no response of a target. */
@@ -37,6 +39,7 @@
   | 'not-ready'
   | 'overloaded'
   | 'no-target'
+  | 'cut-off'
   | 'deadline'
   | 'connection-lost'
   | 'home-unreachable'
@@ -156,6 +159,16 @@
       readonly silenceLimitMs: number | undefined;
       readonly deadlineMs: InstantMs;
     }
+  /** Pass the request to a peer. */
+  | {
+      readonly type: 'relay';
+      readonly token: string;
+      readonly requestId: string;
+      readonly host: string;
+      readonly port: number;
+      readonly freshness: 'any' | 'proven';
+      readonly deadlineMs: InstantMs;
+    }
   | {readonly type: 'cancel'; readonly token: string}
   | {
       readonly type: 'claim';
--- a/src/relay/target_reachability.ts
+++ b/src/relay/target_reachability.ts
@@ -20,8 +20,8 @@
 /** Targets that must respond before the VM counts as connected again. */
 const MIN_REACHED_COUNT = 2;
 
-/** Time within which these targets must respond. */
-const REACHED_WINDOW_MS = 600;
+/** Time within which these targets must respond, by default. */
+const DEFAULT_REACHED_WINDOW_MS = 600;
 
 /** Time after which a failure is no longer evidence. */
 const FAILURE_TTL_MS = 3_000;
@@ -62,6 +62,15 @@
   private returnedMs: InstantMs = -Infinity;
   private nextProbeMs: InstantMs = -Infinity;
   private probeOffset = 0;
+  private readonly reachedWindowMs: number;
+
+  /**
+   * @param options - `reachedWindowMs`: time within which two targets must
+   *     respond to end a cut
+   */
+  constructor(options: {readonly reachedWindowMs?: number} = {}) {
+    this.reachedWindowMs = options.reachedWindowMs ?? DEFAULT_REACHED_WINDOW_MS;
+  }
 
   /** True while the VM reaches no target. */
   get isCutOff(): boolean {
@@ -104,7 +113,7 @@
     nowMs: InstantMs,
   ): ReachabilityChange | undefined {
     expire(this.failedMs, nowMs - FAILURE_TTL_MS);
-    expire(this.reachedMs, nowMs - REACHED_WINDOW_MS);
+    expire(this.reachedMs, nowMs - this.reachedWindowMs);
     if (this.sinceMs !== undefined) {
       return this.reachedMs.size >= Math.min(MIN_REACHED_COUNT, targetCount)
         ? this.endCut(this.sinceMs, nowMs)
--- a/src/settings/parse_settings.ts
+++ b/src/settings/parse_settings.ts
@@ -30,7 +30,10 @@
 const DEFAULT_REQUEST_TIMEOUT_MS = 30_000;
 
 /** Settings keys of the listen addresses. */
-const LISTENER_KEYS = ['caller', 'operator', 'peer'] as const;
+const LISTENER_KEYS = ['caller', 'operator', 'peer', 'relay'] as const;
+
+/** Settings keys of the addresses that are published to other VMs. */
+const PUBLISHED_KEYS = ['peer', 'relay'] as const;
 
 /** Wildcard addresses (all interfaces), to which a peer cannot connect. */
 const WILDCARD_HOSTS: ReadonlySet<unknown> = new Set(['0.0.0.0', '::']);
@@ -71,6 +74,7 @@
   caller: callerSchema,
   operator: listenSchema,
   peer: listenSchema,
+  relay: addressSchema.optional(),
   platformUrls: z
     .array(platformUrl, {error: 'an array of URLs'})
     .min(1, {error: 'at least one URL'}),
@@ -100,8 +104,12 @@
   text: string,
   file: string,
 ): Result<DaemonSettings, SettingsError> {
-  return checkText(text, settingsSchema, [checkListeners, checkPeerHost])
-    .map(parsed => ({...parsed, randomSeed: parsed.randomSeed}))
+  return checkText(text, settingsSchema, [checkListeners, checkPublishedHosts])
+    .map(parsed => ({
+      ...parsed,
+      relay: parsed.relay,
+      randomSeed: parsed.randomSeed,
+    }))
     .mapErr(issues => ({type: 'invalid-settings', file, issues}));
 }
 
@@ -119,12 +127,14 @@
   });
 }
 
-/** Rejects a wildcard peer address, since it is published to other VMs. */
-function checkPeerHost(value: unknown): readonly RuleIssue[] {
-  const {host} = readAddress(value, 'peer');
-  return WILDCARD_HOSTS.has(host)
-    ? [{path: ['peer', 'host'], expected: 'an address that peers can reach'}]
-    : [];
+/** Rejects wildcard addresses that are published to other VMs. */
+function checkPublishedHosts(value: unknown): readonly RuleIssue[] {
+  return PUBLISHED_KEYS.flatMap(key => {
+    const {host} = readAddress(value, key);
+    return WILDCARD_HOSTS.has(host)
+      ? [{path: [key, 'host'], expected: 'an address that peers can reach'}]
+      : [];
+  });
 }
 
 /** Returns an address from settings that are not validated yet. */
--- a/src/settings/settings_test.ts
+++ b/src/settings/settings_test.ts
@@ -34,7 +34,7 @@
   assert.equal(
     formatErrors(bad),
     's.json:10: operator.port: found "9090", expected a whole number from 0 to 65535\n' +
-      's.json:19: vmID: found 1, expected one of the keys vmId, failureDomain, caller, operator, peer, platformUrls, seeds, leaveDelayMs, logLevel, randomSeed',
+      's.json:19: vmID: found 1, expected one of the keys vmId, failureDomain, caller, operator, peer, relay, platformUrls, seeds, leaveDelayMs, logLevel, randomSeed',
   );
 });
 
@@ -43,6 +43,8 @@
   // platform URL that is not http with an IP address.
   const wildcard = {...VALID, peer: {host: '0.0.0.0', port: 7070}};
   assert.match(formatErrors(wildcard), /peer\.host: .*peers can reach/);
+  const wildcardRelay = {...VALID, relay: {host: '0.0.0.0', port: 7071}};
+  assert.match(formatErrors(wildcardRelay), /relay\.host: .*peers can reach/);
   const conflict = {...VALID, peer: VALID.operator};
   assert.match(
     formatErrors(conflict),
--- a/src/settings/settings_types.ts
+++ b/src/settings/settings_types.ts
@@ -33,6 +33,11 @@
   readonly operator: Address;
   /** Listen address for peers; they connect to the same address. */
   readonly peer: Address;
+  /**
+   * Listen address for requests that peers without links to targets pass on;
+   * undefined if this VM neither carries nor passes on requests.
+   */
+  readonly relay: Address | undefined;
   /** Base URLs of the platform, tried in turn. */
   readonly platformUrls: readonly string[];
   /** Peer addresses to contact when joining. */
--- a/src/standins/fleet_files.ts
+++ b/src/standins/fleet_files.ts
@@ -232,6 +232,7 @@
     caller: {host: HOST, port: caller},
     operator: {host: HOST, port: operator},
     peer: {host: HOST, port: peer},
+    relay: undefined,
     platformUrls: [`http://${HOST}:${shape.basePort}`],
     seeds,
     leaveDelayMs: shape.leaveDelayMs,
