Let idle VMs check their links while a peer of their domain is cut off

Cause: heads that are cut off step back for VMs that are not known to be; an idle VM of the same domain does not know, becomes head, finds out, and steps back in turn, so that the domain has no lasting heads and its VMs hear of few peers. Now a VM that knows a peer of its domain to be cut off and has no response of the last 0.3 s probes one target each 0.3 s, so all VMs of such a domain know within about a second and the order of heads is stable again. The test passes, as do the others of cuts. Results of attempts moved out of the engine of deliveries.

--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -3,19 +3,15 @@
  *
  * @packageDocumentation
  */
-import type {InstantMs, RandomSource, Verdict} from '../core/index.js';
+import type {InstantMs, RandomSource} from '../core/index.js';
 import type {AttemptSignal} from '../engine/index.js';
-import type {
-  LoadBoard,
-  TargetChoice,
-  TargetForecast,
-  TargetOutcome,
-} from '../load/index.js';
+import type {LoadBoard, TargetChoice, TargetForecast} from '../load/index.js';
 import type {RequestGrants, TargetLimits} from '../limits/index.js';
 import {RequestQuarantine, type CrashQuarantine} from '../recovery/index.js';
-import type {RelayOutcome, RelayPolicy} from '../relay/index.js';
+import type {RelayPolicy} from '../relay/index.js';
 import type {WindowLimit} from '../retries/index.js';
 import {WeightedSplit, type RouteTable} from '../routes/index.js';
+import {outcomeOf, relayResultOf, type EndSignal} from './attempt_result.js';
 import {Delivery, type DeliveryAttempt} from './delivery.js';
 import {
   answerEvent,
@@ -571,7 +567,7 @@
   private onEnded(
     delivery: Delivery,
     attempt: DeliveryAttempt,
-    signal: Exclude<AttemptSignal, {readonly type: 'sent'}>,
+    signal: EndSignal,
     nowMs: InstantMs,
   ): void {
     attempt.isOpen = false;
@@ -604,7 +600,7 @@
   /** Records what the end of an attempt tells about its target. */
   private recordOutcome(
     {targetId}: DeliveryAttempt,
-    signal: Exclude<AttemptSignal, {readonly type: 'sent'}>,
+    signal: EndSignal,
     nowMs: InstantMs,
   ): void {
     const {board, relays} = this.options;
@@ -624,7 +620,7 @@
   private onRelayEnded(
     delivery: Delivery,
     attempt: DeliveryAttempt,
-    signal: Exclude<AttemptSignal, {readonly type: 'sent'}>,
+    signal: EndSignal,
     nowMs: InstantMs,
   ): void {
     const {token, peerHost = ''} = attempt;
@@ -1006,45 +1002,3 @@
     return effects;
   }
 }
-
-function outcomeOf(
-  signal: Exclude<AttemptSignal, {readonly type: 'sent'}>,
-): TargetOutcome {
-  switch (signal.type) {
-    case 'response':
-      if (signal.refused) {
-        return 'refused';
-      }
-      return signal.status >= 500 ? 'failed' : 'answered';
-    case 'unreachable':
-      return 'unreachable';
-    case 'lost':
-      return 'failed';
-    case 'cancelled':
-      return 'withdrawn';
-  }
-}
-
-/** Returns how a request at a peer ended, and whether it may have run. */
-function relayResultOf(
-  signal: Exclude<AttemptSignal, {readonly type: 'sent'}>,
-): {readonly outcome: RelayOutcome; readonly verdict: Verdict} {
-  switch (signal.type) {
-    case 'response':
-      if (signal.refused) {
-        return {outcome: 'refused', verdict: 'not-run'};
-      }
-      return signal.unanswered === true
-        ? {outcome: 'refused', verdict: 'may-have-run'}
-        : {outcome: 'carried', verdict: 'ran'};
-    case 'unreachable':
-      return {outcome: 'failed', verdict: 'not-run'};
-    case 'lost':
-      return {outcome: 'failed', verdict: 'may-have-run'};
-    case 'cancelled':
-      return {
-        outcome: 'withdrawn',
-        verdict: signal.bytesSent ? 'may-have-run' : 'not-run',
-      };
-  }
-}
--- a/src/entry/reachability_sharing.ts
+++ b/src/entry/reachability_sharing.ts
@@ -51,8 +51,12 @@
       fleet.setReachesTargets(change.type === 'returned');
       dispatches = fleet.announce(nowMs);
     }
+    const isPeerCutOff = fleet.hasCutOffPeer(nowMs);
+    // Listing all targets at each tick would cost more than the rest of it.
+    const targetIds =
+      reachability.isCutOff || isPeerCutOff ? [...targets.keys()] : [];
     const probes = reachability
-      .takeProbes([...targets.keys()], nowMs)
+      .takeProbes(targetIds, isPeerCutOff, nowMs)
       .flatMap(targetId => targets.get(targetId) ?? []);
     return {change, dispatches, probes};
   }
--- a/src/fleet/fleet_node.ts
+++ b/src/fleet/fleet_node.ts
@@ -195,6 +195,17 @@
       .filter(({state, reachesTargets}) => state === 'ready' && reachesTargets);
   }
 
+  /**
+   * Returns whether another member of the failure domain reaches no target.
+   *
+   * @param nowMs - current instant in milliseconds
+   */
+  hasCutOffPeer(nowMs: InstantMs): boolean {
+    return this.directory
+      .alive(nowMs, this.options.identity.failureDomain)
+      .some(({reachesTargets}) => !reachesTargets);
+  }
+
   /** Replaces the seed addresses. */
   setSeeds(hosts: readonly string[]): void {
     const selfHost = this.options.identity.host;
--- a/src/relay/target_reachability.ts
+++ b/src/relay/target_reachability.ts
@@ -35,6 +35,12 @@
 /** Targets that it probes each time. */
 const PROBED_COUNT = 2;
 
+/**
+ * Interval at which a VM without recent responses probes one target while a peer
+ * of its failure domain is cut off, since it may be so too.
+ */
+const SELF_CHECK_INTERVAL_MS = 300;
+
 /** Change of the state of a VM. */
 export type ReachabilityChange =
   | {readonly type: 'cut-off'; readonly failedCount: number}
@@ -144,21 +150,28 @@
 
   /**
    * Selects the targets to probe now, in turn. A VM that is cut off sends no
-   * requests to targets and would not see their return otherwise.
+   * requests to targets and would not see their return otherwise; a VM with few
+   * requests would learn late that it is cut off.
    *
    * @param targetIds - registered targets
+   * @param isPeerCutOff - whether a peer of the failure domain is cut off
    * @param nowMs - current instant in milliseconds
-   * @returns ids; none unless the VM is cut off
+   * @returns ids; none while nothing suggests a cut
    */
   takeProbes(
     targetIds: readonly string[],
+    isPeerCutOff: boolean,
     nowMs: InstantMs,
   ): readonly string[] {
-    if (!this.isCutOff || nowMs < this.nextProbeMs) {
+    const isRecent = nowMs - this.lastReachedMs < SELF_CHECK_INTERVAL_MS;
+    const isChecking = isPeerCutOff && !isRecent;
+    if ((!this.isCutOff && !isChecking) || nowMs < this.nextProbeMs) {
       return [];
     }
-    this.nextProbeMs = nowMs + PROBE_INTERVAL_MS;
-    const count = Math.min(PROBED_COUNT, targetIds.length);
+    this.nextProbeMs =
+      nowMs + (this.isCutOff ? PROBE_INTERVAL_MS : SELF_CHECK_INTERVAL_MS);
+    const maxCount = this.isCutOff ? PROBED_COUNT : 1;
+    const count = Math.min(maxCount, targetIds.length);
     return Array.from({length: count}, () => {
       this.probeOffset = (this.probeOffset + 1) % targetIds.length;
       return targetIds[this.probeOffset] ?? '';
--- a/src/relay/target_reachability_test.ts
+++ b/src/relay/target_reachability_test.ts
@@ -79,11 +79,28 @@
   const reachability = cutOff();
   const probed = new Map<string, number>();
   for (let nowMs = 2_000; nowMs < 4_000; nowMs += 10) {
-    for (const targetId of reachability.takeProbes(targetIds, nowMs)) {
+    for (const targetId of reachability.takeProbes(targetIds, false, nowMs)) {
       probed.set(targetId, (probed.get(targetId) ?? 0) + 1);
     }
   }
   assert.equal(probed.size, TARGET_COUNT);
   assert.ok([...probed.values()].every(count => count <= 4));
-  assert.deepEqual(new TargetReachability().takeProbes(targetIds, 0), []);
+  const idle = new TargetReachability();
+  assert.deepEqual(idle.takeProbes(targetIds, false, 0), []);
+});
+
+test('an idle VM checks its own links while a peer is cut off', () => {
+  // Guards against VMs of a cut domain that become its heads one after the other.
+  const targetIds = Array.from({length: TARGET_COUNT}, (_, i) => `x${i}`);
+  const reachability = new TargetReachability();
+  for (let nowMs = 0; nowMs < 1_500 && !reachability.isCutOff; nowMs += 50) {
+    for (const targetId of reachability.takeProbes(targetIds, true, nowMs)) {
+      reachability.onFailed(targetId, nowMs);
+    }
+    reachability.update(TARGET_COUNT, nowMs);
+  }
+  assert.ok(reachability.isCutOff);
+  const connected = new TargetReachability();
+  connected.onReached('x1', 1_000);
+  assert.deepEqual(connected.takeProbes(targetIds, true, 1_200), []);
 });
