Keep heads of failure domains whether they reach targets or not

Trace of seed 27: 1.2 s after the cut all 62 VMs of the domain knew that they were cut off, and none was head, since each took the others, of whose state it had not heard, to outrank it; at 2 s 59 of them knew no other VM. Cause: ranks depended on a state that members learn of late, so they disagreed, and the membership of the domain fell apart.

Ranks no longer depend on it, and no handover is needed. Where all heads of a domain are known to be cut off, the member of highest rank that is not probes the domain's targets and sends their loads.

--- a/src/entry/load_sharing.ts
+++ b/src/entry/load_sharing.ts
@@ -141,7 +141,7 @@
       this.addOutcomeReports(dispatches, nowMs);
     }
     this.addImplicationReport(dispatches, nowMs);
-    if (!this.actsAsHead(nowMs) || reachability.isCutOff) {
+    if (!this.observesDomain(nowMs)) {
       return {dispatches, probes: []};
     }
     if (!reachability.isSuspect) {
@@ -307,6 +307,14 @@
     );
   }
 
+  /** Reports whether this VM probes the targets of its failure domain. */
+  private observesDomain(nowMs: InstantMs): boolean {
+    const {fleet, reachability} = this.options;
+    const isObserver =
+      this.actsAsHead(nowMs) || fleet.isSubstituteObserver(nowMs);
+    return isObserver && !reachability.isCutOff;
+  }
+
   private addDueTables(dispatches: Dispatch[], nowMs: InstantMs): void {
     const {fleet, board, failureDomain} = this.options;
     if (nowMs >= this.nextTableMs) {
--- a/src/fleet/fleet_node.ts
+++ b/src/fleet/fleet_node.ts
@@ -12,7 +12,7 @@
 } from '../registry/index.js';
 import {assignRoles, type FleetRoles} from './fleet_roles.js';
 import {FleetSizeEstimator} from './fleet_size.js';
-import {MemberDirectory} from './member_directory.js';
+import {MemberDirectory, type RankedMember} from './member_directory.js';
 import {Reconciliation} from './reconciliation.js';
 import {StoreReadPolicy} from './store_read_policy.js';
 import type {
@@ -42,12 +42,6 @@
 /** Interval of heartbeats to the seeds later on; rejoins healed partitions. */
 const SEED_REFRESH_MS = 3_000;
 
-/**
- * Time for which a head that is cut off from all targets goes on sending to its
- * members, so that they hear of its successors. Tolerates one lost heartbeat.
- */
-const HEAD_HANDOVER_MS = 700;
-
 /**
  * Members that a head lists in addition while some VMs reach no target. Drawn
  * anew each time, so that the VMs that need them learn of many.
@@ -131,7 +125,6 @@
   private nextHeadHeartbeatMs: InstantMs = 0;
   private nextCrossHeartbeatMs: InstantMs = 0;
   private nextSeedHeartbeatMs: InstantMs = 0;
-  private lastHeadMs: InstantMs = -Infinity;
   private reportedDomainSize = 0;
   private reportedDomainSizeUntilMs: InstantMs = -Infinity;
 
@@ -206,6 +199,33 @@
       .some(({reachesTargets}) => !reachesTargets);
   }
 
+  /**
+   * Returns whether this VM observes the targets of its failure domain in place
+   * of the heads, because none of them reaches targets.
+   *
+   * @param nowMs - current instant in milliseconds
+   */
+  isSubstituteObserver(nowMs: InstantMs): boolean {
+    const {identity} = this.options;
+    if (!this.reachesTargets || this.state !== 'ready' || this.isHead) {
+      return false;
+    }
+    const local = this.directory.alive(nowMs, identity.failureDomain);
+    const {localHeads} = this.currentRoles;
+    const cutOffHosts = new Set(
+      local.filter(({reachesTargets}) => !reachesTargets).map(({host}) => host),
+    );
+    if (!localHeads.every(host => cutOffHosts.has(host))) {
+      return false;
+    }
+    const able = local.filter(
+      ({state, reachesTargets}) => state === 'ready' && reachesTargets,
+    );
+    const self = {...identity, state: this.state};
+    const [first] = this.directory.rank<RankedMember>([...able, self]);
+    return first?.host === identity.host;
+  }
+
   /** Replaces the seed addresses. */
   setSeeds(hosts: readonly string[]): void {
     const selfHost = this.options.identity.host;
@@ -231,7 +251,7 @@
    */
   setReachesTargets(reachesTargets: boolean): void {
     this.reachesTargets = reachesTargets;
-    this.nextRolesMs = 0;
+    this.nextHeadHeartbeatMs = 0;
   }
 
   /**
@@ -334,11 +354,6 @@
     const outbound: Dispatch[] = [];
     this.sendToSeeds(outbound, nowMs);
     if (this.isHead) {
-      this.lastHeadMs = nowMs;
-    }
-    const isHandingOver =
-      !this.reachesTargets && nowMs - this.lastHeadMs < HEAD_HANDOVER_MS;
-    if (this.isHead || isHandingOver) {
       this.sendAsHead(outbound, nowMs);
     } else if (nowMs >= this.nextMemberHeartbeatMs) {
       this.nextMemberHeartbeatMs = nowMs + MEMBER_HEARTBEAT_MS;
--- a/src/fleet/member_directory.ts
+++ b/src/fleet/member_directory.ts
@@ -100,8 +100,9 @@
   }
 
   /**
-   * Ranks the members of a failure domain for roles: ready ones first, then those
-   * that reach targets, then by capacity class, then by hash.
+   * Ranks the members of a failure domain for roles: ready ones first, then by
+   * capacity class, then by hash. Whether a member reaches targets plays no part:
+   * other VMs learn of it late, and would disagree about the ranks.
    *
    * @param members - candidates
    * @returns candidates, highest rank first
@@ -110,7 +111,6 @@
     return [...members].sort(
       (a, b) =>
         Number(b.state === 'ready') - Number(a.state === 'ready') ||
-        Number(b.reachesTargets) - Number(a.reachesTargets) ||
         capacityClass(b) - capacityClass(a) ||
         compareStrings(this.rankHashOf(a), this.rankHashOf(b)),
     );
@@ -127,8 +127,7 @@
 }
 
 /** Fields that determine the rank of a member. */
-export type RankedMember = MemberIdentity &
-  Pick<Member, 'state' | 'reachesTargets'>;
+export type RankedMember = MemberIdentity & Pick<Member, 'state'>;
 
 function capacityClass({capacityMillicores}: MemberIdentity): number {
   return Math.floor(
