Take ports of the presets' relay test below those of the kernel

Ports that the kernel hands out can be taken by a connection between the check and the daemon's start.

--- a/src/daemon/relay_test.ts
+++ b/src/daemon/relay_test.ts
@@ -18,6 +18,11 @@
 const CALL_COUNT = 20;
 const STATE_TIMEOUT_MS = 30_000;
 
+/** Range of fixed ports, with a first port that depends on the process. */
+const FIRST_PORT = 14_000;
+const LAST_PORT = 18_999;
+let nextPort = FIRST_PORT + ((process.pid * 16) % (LAST_PORT - FIRST_PORT));
+
 const KIND = {urgent: false, long: false, worth: 1, timeoutMs: 3_000};
 const SERVICE = {
   slotsPerTarget: 4,
@@ -84,14 +89,24 @@
   }
 }
 
+/**
+ * Finds a port that is free now, below the range from which the kernel assigns
+ * ports to connections and to other tests.
+ */
 async function findFreePort(): Promise<number> {
-  const server = createServer();
-  server.listen(0, HOST);
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
+  for (;;) {
+    nextPort = nextPort >= LAST_PORT ? FIRST_PORT : nextPort + 1;
+    const server = createServer();
+    server.listen(nextPort, HOST);
+    try {
+      await once(server, 'listening');
+    } catch {
+      continue;
+    }
+    server.close();
+    await once(server, 'close');
+    return nextPort;
+  }
 }
 
 async function startTargets(
