Answer with the delay that peers state when they refuse a relayed request

Callers of a VM that reaches no target came back after some 10 ms although the peers had refused the request for being overloaded: the VM answered `cut-off` with the delay for another VM. The longest delay of the peers is passed on now. The test of three refusing peers checks it (no delay was read before). Attempts are created in one place.

--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -51,6 +51,8 @@
   lastFailure: 'none' | 'unreachable' | 'refused' | 'lost' = 'none';
   /** Peers that have refused the request or could not be reached. */
   readonly triedPeerHosts: string[] = [];
+  /** Longest delay that a peer stated with its refusal, in seconds. */
+  peerRetrySeconds: number | undefined;
   /** Targets that could not be reached. */
   unreachableCount = 0;
   /** Whether the request is counted for the retry budget, here or at a peer. */
@@ -81,6 +83,30 @@
     );
   }
 
+  /** Adds an attempt that is not sent yet. */
+  addAttempt(
+    start: Pick<
+      DeliveryAttempt,
+      | 'token'
+      | 'targetId'
+      | 'targetStartedMs'
+      | 'startedMs'
+      | 'expectedMs'
+      | 'slowness'
+      | 'peerHost'
+      | 'targetCount'
+    >,
+  ): DeliveryAttempt {
+    const attempt: DeliveryAttempt = {
+      ...start,
+      sentMs: undefined,
+      verdict: 'not-run',
+      isOpen: true,
+    };
+    this.attempts.push(attempt);
+    return attempt;
+  }
+
   /** Attempts that have not ended. */
   get openAttempts(): readonly DeliveryAttempt[] {
     return this.attempts.filter(({isOpen}) => isOpen);
--- a/src/delivery/delivery_engine.ts
+++ b/src/delivery/delivery_engine.ts
@@ -425,20 +425,16 @@
     this.tokenCount += 1;
     const token = `t${this.tokenCount}`;
     const targetCount = delivery.maxAttempts - delivery.sentCount;
-    const attempt: DeliveryAttempt = {
+    const attempt = delivery.addAttempt({
       token,
       targetId: `vm ${host}`,
       targetStartedMs: 0,
       startedMs: nowMs,
       expectedMs: this.workMsOf(delivery),
       slowness: 1,
-      sentMs: undefined,
-      verdict: 'not-run',
-      isOpen: true,
       peerHost: host,
       targetCount,
-    };
-    delivery.attempts.push(attempt);
+    });
     delivery.hedgeCheckAtMs = Infinity;
     this.deliveriesByToken.set(token, delivery);
     this.options.relays.peers.onStarted(host);
@@ -509,20 +505,16 @@
     this.tokenCount += 1;
     const token = `t${this.tokenCount}`;
     const {request, rule} = delivery;
-    const attempt: DeliveryAttempt = {
+    delivery.addAttempt({
       token,
       targetId: forecast.targetId,
       targetStartedMs: target.startedMs,
       startedMs: nowMs,
       expectedMs: forecast.durationMs,
       slowness: forecast.slowness,
-      sentMs: undefined,
-      verdict: 'not-run',
-      isOpen: true,
       peerHost: undefined,
       targetCount: 1,
-    };
-    delivery.attempts.push(attempt);
+    });
     delivery.triedTargetIds.push(forecast.targetId);
     delivery.hedgeCheckAtMs = rule.idempotent
       ? nowMs +
@@ -634,6 +626,9 @@
         return;
       }
       this.effects.push({type: 'discard', token});
+      const {retryAfterSeconds = 0} = signal;
+      const knownSeconds = delivery.peerRetrySeconds ?? 0;
+      delivery.peerRetrySeconds = Math.max(knownSeconds, retryAfterSeconds);
     }
     if (delivery.isClosed) {
       return;
@@ -898,7 +893,12 @@
       ownInFlight: board.ownInFlight(delivery.service),
     };
     const share = load.inFlightCount / Math.max(1, load.slotCount);
-    const outcome = buildRefusal({reason, verdict, load: share}, random);
+    const peerRetrySeconds =
+      reason === 'cut-off' ? delivery.peerRetrySeconds : undefined;
+    const outcome = buildRefusal(
+      {reason, verdict, load: share, peerRetrySeconds},
+      random,
+    );
     this.close(delivery);
     this.effects.push({type: 'respond', requestId: request.requestId, outcome});
     this.log(refuseEvent(delivery, {reason, outcome}, load, nowMs));
--- a/src/delivery/delivery_engine_test.ts
+++ b/src/delivery/delivery_engine_test.ts
@@ -358,7 +358,7 @@
 });
 
 test('the response of another target at an address drains nothing', () => {
-  // Guards against targets that are left alone on the word of another one.
+  // Guards against targets that are avoided because another one announces a drain.
   const harness = new Harness({targets: 1});
   harness.request(UNSAFE);
   const misdirected = {
@@ -682,16 +682,20 @@
 });
 
 test('a request that a peer refuses goes to another peer, at most three', () => {
-  // Guards against first tries that fail because one peer is busy.
+  // Guards against requests that fail because one peer is busy.
   const harness = new Harness({peers: 5});
   harness.cutOff();
   const id = harness.request(UNSAFE);
   for (let i = 0; i < 3; i += 1) {
     harness.signal(harness.relayed[i]!.token, {type: 'sent'});
-    harness.signal(harness.relayed[i]!.token, answer(503, true));
+    const refusal = {...answer(503, true), retryAfterSeconds: 0.4};
+    harness.signal(harness.relayed[i]!.token, refusal as AttemptSignal);
   }
   assert.equal(new Set(harness.relayed.map(({host}) => host)).size, 3);
   assert.equal(harness.status(id), 503);
+  const outcome = harness.outcome(id);
+  assert.ok(outcome?.type === 'refusal');
+  assert.equal(outcome.retryAfterSeconds, 0.4);
   // The first peer may have counted it.
   assert.ok(harness.relayed[1]!.terms.isCounted);
 });
@@ -712,7 +716,7 @@
 });
 
 test('a peer passes no relayed request on, and refuses it when cut off itself', () => {
-  // Guards against requests that go round in circles.
+  // Guards against relay loops.
   const harness = new Harness({peers: 3});
   harness.cutOff();
   const id = harness.request(UNSAFE, {relay: RELAY_TERMS});
--- a/src/delivery/refusal.ts
+++ b/src/delivery/refusal.ts
@@ -53,6 +53,8 @@
   readonly verdict: Verdict;
   /** Requests at the service as a share of its slots; 0 if unknown. */
   readonly load: number;
+  /** Delay stated by peers that refused the request; undefined for none. */
+  readonly peerRetrySeconds?: number | undefined;
 }
 
 /**
@@ -89,7 +91,7 @@
 }
 
 function retryAfterSeconds(
-  {reason, verdict, load}: RefusalCause,
+  {reason, verdict, load, peerRetrySeconds}: RefusalCause,
   random: RandomSource,
 ): number | undefined {
   if (verdict !== 'not-run' || reason === 'no-route') {
@@ -98,6 +100,10 @@
   if (reason === 'quarantined') {
     return undefined;
   }
+  if (peerRetrySeconds !== undefined && peerRetrySeconds > 0) {
+    // The peers have spread the delay already.
+    return peerRetrySeconds;
+  }
   const canOtherVmServe = OTHER_VM_REASONS.has(reason);
   const seconds = canOtherVmServe
     ? OTHER_VM_RETRY_SECONDS
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -114,6 +114,8 @@
       readonly limit?: LimitStatement | undefined;
       /** A peer that carried the request got no response of a target. */
       readonly unanswered?: boolean;
+      /** Delay that a peer states with its refusal, in seconds. */
+      readonly retryAfterSeconds?: number | undefined;
       /** Another target responded at this address; it did not run the work. */
       readonly misdirected?: boolean;
     }
--- a/src/peer_relay/relay_target_protocol.ts
+++ b/src/peer_relay/relay_target_protocol.ts
@@ -54,6 +54,9 @@
     return {
       refused,
       unanswered: isRefusal && !refused,
+      retryAfterSeconds: isRefusal
+        ? parseSeconds(headers['retry-after'])
+        : undefined,
       draining: false,
       inFlight: undefined,
     };
@@ -63,3 +66,12 @@
 function isForwarded(headers: HeaderFields): boolean {
   return headers[RELAY_HEADER] === FORWARDED_RESPONSE;
 }
+
+/** Parses the delay of a refusal; undefined if it is no decimal number. */
+function parseSeconds(
+  value: string | readonly string[] | undefined,
+): number | undefined {
+  return typeof value === 'string' && /^\d{1,4}(\.\d{1,6})?$/.test(value)
+    ? Number(value)
+    : undefined;
+}
--- a/src/target_http/target_protocol.ts
+++ b/src/target_http/target_protocol.ts
@@ -22,6 +22,8 @@
   readonly limit?: LimitStatement | undefined;
   /** A peer that carried the request got no response of a target. */
   readonly unanswered?: boolean;
+  /** Delay that a peer states with its refusal, in seconds. */
+  readonly retryAfterSeconds?: number | undefined;
   /** A target other than the intended one responded at the address. */
   readonly misdirected?: boolean;
 }
