Bound what a cut costs the daemon for presets, and end it with the shutdown

Found by reading the change again. A VM that shut down announced its relay address again when a cut ended meanwhile (new test). Failures that come from probes and connections that ran out during a pause of the VM counted as evidence of a cut (new test). Each tick counted the targets of all services, each relayed request built a map of all VMs, addresses of replaced peers were kept for ever, and requests that peers carried were counted but never taken: counted at each new list, built once, bounded to 10,000, and told with the end of a cut. An answered relay was recorded as a failed attempt.

--- a/src/engine/attempt_flow.ts
+++ b/src/engine/attempt_flow.ts
@@ -222,7 +222,7 @@
       attempt.lose();
     }
     const isNotRun = attempt.verdict === 'not-run';
-    this.finish(running, 'cancelled', nowMs);
+    this.finish(running, isAnswered ? 'answered' : 'cancelled', nowMs);
     request.triedPeers.push(vmId);
     if (isAnswered) {
       const {token} = attempt;
--- a/src/engine/engine_context.ts
+++ b/src/engine/engine_context.ts
@@ -77,7 +77,9 @@
   /** Addresses of the peers that reach targets, by VM. */
   readonly relayAddresses = new Map<string, RelayAddress>();
   preset: Preset | undefined;
-  vmList: VmListDocument | undefined;
+  /** Failure domains of the listed entry VMs. */
+  private failureDomains: ReadonlyMap<string, string> = new Map();
+  private currentVmList: VmListDocument | undefined;
   readyVmIds: readonly string[] = [];
   liveVmIds: readonly string[];
   /** True if facts must be published at the next tick. */
@@ -101,28 +103,33 @@
     });
   }
 
+  /** List of VMs in force; undefined before the first one. */
+  get vmList(): VmListDocument | undefined {
+    return this.currentVmList;
+  }
+
+  /** Replaces the list of VMs. */
+  setVmList(document: VmListDocument): void {
+    this.currentVmList = document;
+    const entryVms = document.vms.filter(({role}) => role === 'entry');
+    this.failureDomains = new Map(
+      entryVms.map(({id, failureDomain}) => [id, failureDomain]),
+    );
+  }
+
   /** Lists the ready peers that reach targets; their host is the VM's id. */
   private relayCandidates(): readonly RelayCandidate[] {
     if (this.options.relayAddress === undefined) {
       return [];
     }
-    const domains = new Map(
-      this.vmList?.vms.map(({id, failureDomain}) => [id, failureDomain]),
-    );
     return this.readyVmIds
       .filter(
         vmId => vmId !== this.options.vmId && this.relayAddresses.has(vmId),
       )
-      .map(vmId => ({host: vmId, failureDomain: domains.get(vmId) ?? ''}));
-  }
-
-  /** Number of listed targets of all services. */
-  get targetCount(): number {
-    let count = 0;
-    for (const {targets} of this.services.values()) {
-      count += targets.size;
-    }
-    return count;
+      .map(vmId => ({
+        host: vmId,
+        failureDomain: this.failureDomains.get(vmId) ?? '',
+      }));
   }
 
   /** Adds an effect of the current input. */
--- a/src/engine/peer_facts.ts
+++ b/src/engine/peer_facts.ts
@@ -30,6 +30,12 @@
  */
 const MAX_UNLISTED_DRAINS = 10_000;
 
+/**
+ * Most addresses of peers that are stored, those of VMs that have been replaced
+ * included; the oldest are dropped first.
+ */
+const MAX_RELAY_ADDRESSES = 10_000;
+
 /**
  * Applies facts of peers to target pools and the crash quarantine.
  *
@@ -99,11 +105,16 @@
   private onRelayAddress(fact: Fact, value: unknown): void {
     const [vmId] = splitKey(fact.ownerId);
     const parsed = relaySchema.safeParse(value);
+    const {relayAddresses} = this.context;
+    relayAddresses.delete(vmId);
     if (parsed.success) {
-      this.context.relayAddresses.set(vmId, parsed.data);
+      relayAddresses.set(vmId, parsed.data);
+      const [oldestId] = relayAddresses.keys();
+      if (relayAddresses.size > MAX_RELAY_ADDRESSES && oldestId !== undefined) {
+        relayAddresses.delete(oldestId);
+      }
       return;
     }
-    this.context.relayAddresses.delete(vmId);
     if (fact.value !== '') {
       this.reject(fact);
     }
--- a/src/engine/relay_test.ts
+++ b/src/engine/relay_test.ts
@@ -16,7 +16,9 @@
 const UNANSWERED: AttemptSignal = {...OK, status: 502, unanswered: true};
 const LOST: AttemptSignal = {type: 'lost', crashed: false};
 const UNREACHABLE: AttemptSignal = {type: 'unreachable'};
-const CUT_MS = 1_000;
+/** Instants at which the links are lost, and the VM counts as cut off. */
+const LOST_MS = 1_000;
+const CUT_MS = 1_260;
 
 function effectsOf<T extends Effect['type']>(
   effects: readonly Effect[],
@@ -27,15 +29,15 @@
 
 /** Sends a request whose targets cannot be reached; a peer answers it. */
 function loseLinks(engine: RequestEngine, requestId: string): void {
-  let effects = engine.onRequest(fixtureRequest(requestId), CUT_MS);
+  let effects = engine.onRequest(fixtureRequest(requestId), LOST_MS);
   let [send] = effectsOf(effects, 'send');
   while (send !== undefined) {
-    effects = engine.onAttemptSignal(send.token, UNREACHABLE, CUT_MS);
+    effects = engine.onAttemptSignal(send.token, UNREACHABLE, LOST_MS);
     [send] = effectsOf(effects, 'send');
   }
   for (const {token} of effectsOf(effects, 'relay')) {
-    engine.onAttemptSignal(token, {type: 'sent'}, CUT_MS);
-    engine.onAttemptSignal(token, OK, CUT_MS);
+    engine.onAttemptSignal(token, {type: 'sent'}, LOST_MS);
+    engine.onAttemptSignal(token, OK, LOST_MS);
   }
 }
 
@@ -55,6 +57,9 @@
   for (let i = 0; i < 20; i += 1) {
     loseLinks(engine, `before-${i}`);
   }
+  for (let nowMs = LOST_MS; nowMs < CUT_MS; nowMs += 100) {
+    engine.onTick(nowMs);
+  }
   engine.onTick(CUT_MS + 10);
   assert.ok(engine.cutOffMs(CUT_MS + 10) > 0, 'not cut off');
   return engine;
@@ -77,6 +82,21 @@
   assert.deepEqual([last?.key, last?.value], ['relay', '']);
 });
 
+test('a VM that shuts down announces no relay address when a cut ends', () => {
+  // Guards against requests that are passed to a VM that is about to end.
+  const engine = cutOffEngine();
+  engine.stopCarrying();
+  for (const targetId of ['t-1', 't-2']) {
+    const source = 'probe';
+    const load = {inFlight: 0, draining: false, measuredMs: CUT_MS + 30};
+    engine.onReport('desk', {targetId, source, ...load}, CUT_MS + 30);
+  }
+  const effects = engine.onTick(CUT_MS + 40);
+  assert.equal(engine.cutOffMs(CUT_MS + 40), 0);
+  const published = effectsOf(effects, 'publish');
+  assert.ok(published.every(({key, value}) => key !== 'relay' || value === ''));
+});
+
 test('a daemon cut off from all targets passes requests to a peer', () => {
   // Guards against VMs that can only fail the requests of their callers.
   const engine = cutOffEngine();
@@ -93,7 +113,7 @@
 });
 
 test('what a peer refuses goes to another one, and is refused as not run at last', () => {
-  // Guards against first tries that fail because one peer is busy.
+  // Guards against requests that fail because one peer is busy.
   const engine = cutOffEngine();
   const nowMs = CUT_MS + 20;
   const request = fixtureRequest('r', {path: '/book'});
@@ -156,7 +176,7 @@
 });
 
 test('a peer that is cut off itself refuses a relayed request', () => {
-  // Guards against requests that go round in circles.
+  // Guards against relay loops.
   const engine = cutOffEngine();
   const request = fixtureRequest('r', {isRelayed: true});
   const effects = engine.onRequest(request, CUT_MS + 20);
--- a/src/engine/request_engine.ts
+++ b/src/engine/request_engine.ts
@@ -57,6 +57,9 @@
   private readonly publisher: FactPublisher;
   private readonly peerFacts: PeerFacts;
   private hasPublishedRelay = false;
+  private isStopping = false;
+  /** Listed targets of all services. */
+  private targetCount = 0;
 
   /**
    * @param options - identity of the VM, random source and the modules that
@@ -115,7 +118,7 @@
    */
   applyVmList(document: VmListDocument, nowMs: InstantMs): readonly Effect[] {
     this.handlePause(nowMs);
-    this.context.vmList = document;
+    this.context.setVmList(document);
     this.syncTargets([...this.context.services.keys()], nowMs);
     const details = {vmCount: document.vms.length};
     this.context.emitEvent('config', 'vm-list-applied', details);
@@ -287,6 +290,7 @@
    * @returns effects to carry out
    */
   stopCarrying(): readonly Effect[] {
+    this.isStopping = true;
     this.publishRelayAddress(undefined);
     return this.context.takeEffects();
   }
@@ -309,6 +313,7 @@
     }
     const durationMs = Math.round(pause.resumedMs - pause.lastTickMs);
     this.context.emitEvent('process', 'pause', {durationMs});
+    this.context.reachability.onPause(nowMs);
     for (const service of this.context.services.values()) {
       service.pool.onPause(nowMs);
     }
@@ -317,23 +322,27 @@
 
   /** Finds out whether this VM reaches targets, and tells its peers. */
   private checkReachability(nowMs: InstantMs): void {
-    const {reachability, options, targetCount} = this.context;
+    const {reachability, options} = this.context;
     if (!this.hasPublishedRelay) {
       this.publishRelayAddress(options.relayAddress);
     }
-    const change = reachability.update(targetCount, nowMs);
+    const change = reachability.update(this.targetCount, nowMs);
     if (change === undefined) {
       return;
     }
     const isCutOff = change.type === 'cut-off';
-    this.publishRelayAddress(isCutOff ? undefined : options.relayAddress);
+    const isCarrying = !isCutOff && !this.isStopping;
+    this.publishRelayAddress(isCarrying ? options.relayAddress : undefined);
     // The failures of the targets were those of this VM's links.
     for (const service of this.context.services.values()) {
       service.pool.onPause(nowMs);
     }
     const sinceMs = isCutOff ? nowMs : change.cutOffSinceMs;
     const durationMs = Math.round(nowMs - sinceMs);
-    this.context.emitEvent('target', change.type, {durationMs});
+    const counts = this.context.relays.peers.takeCarriedCounts();
+    const carriedCount = [...counts.values()].reduce((a, b) => a + b, 0);
+    const details = {durationMs, carriedCount};
+    this.context.emitEvent('target', change.type, details);
   }
 
   /** Tells peers where this VM carries requests; undefined for nowhere. */
@@ -369,6 +378,10 @@
     for (const name of names) {
       this.context.services.get(name)?.syncTargets(vms, nowMs);
     }
+    this.targetCount = [...this.context.services.values()].reduce(
+      (count, {targets}) => count + targets.size,
+      0,
+    );
     this.peerFacts.onTargetsListed(nowMs);
   }
 
--- a/src/relay/relay_peers.ts
+++ b/src/relay/relay_peers.ts
@@ -54,11 +54,6 @@
   /** @param options - failure domain, random source and candidates */
   constructor(private readonly options: RelayPeersOptions) {}
 
-  /** Returns whether any peer reaches targets. */
-  hasCandidate(nowMs: InstantMs): boolean {
-    return this.options.candidates(nowMs).length > 0;
-  }
-
   /**
    * Chooses a peer: of the own failure domain if it has enough, and of two
    * random ones that with fewer open requests of this VM. A peer that hangs
@@ -110,10 +105,19 @@
       this.carriedCounts.set(host, count + 1);
       this.avoidedUntilMs.delete(host);
     } else if (outcome === 'refused') {
-      this.avoidedUntilMs.set(host, nowMs + AVOIDED_AFTER_REFUSAL_MS);
+      this.avoid(host, nowMs + AVOIDED_AFTER_REFUSAL_MS, nowMs);
     } else if (outcome === 'failed') {
-      this.avoidedUntilMs.set(host, nowMs + AVOIDED_AFTER_FAILURE_MS);
+      this.avoid(host, nowMs + AVOIDED_AFTER_FAILURE_MS, nowMs);
+    }
+  }
+
+  private avoid(host: string, untilMs: InstantMs, nowMs: InstantMs): void {
+    for (const [other, endMs] of this.avoidedUntilMs) {
+      if (endMs <= nowMs) {
+        this.avoidedUntilMs.delete(other);
+      }
     }
+    this.avoidedUntilMs.set(host, untilMs);
   }
 
   /** Returns and resets the requests carried since the last call, by peer. */
--- a/src/relay/relay_policy_test.ts
+++ b/src/relay/relay_policy_test.ts
@@ -57,7 +57,7 @@
 });
 
 test('a VM that is cut off asks at most three peers, each once', () => {
-  // Guards against requests that wander through the fleet.
+  // Guards against requests that use up their time at one peer after the other.
   const policy = policyOf(peersOf(candidatesOf('a', 9)), {isCutOff: true});
   const triedHosts: string[] = [];
   for (let i = 0; i < 3; i += 1) {
--- a/src/relay/target_reachability.ts
+++ b/src/relay/target_reachability.ts
@@ -107,6 +107,17 @@
     this.failedMs.set(targetId, nowMs);
   }
 
+  /**
+   * Discards the failures after a pause of this VM: connections and probes ran
+   * out meanwhile.
+   *
+   * @param nowMs - instant at which the VM resumed
+   */
+  onPause(nowMs: InstantMs): void {
+    this.failedMs.clear();
+    this.lastReachedMs = nowMs;
+  }
+
   /**
    * Re-evaluates the state.
    *
--- a/src/relay/target_reachability_test.ts
+++ b/src/relay/target_reachability_test.ts
@@ -104,3 +104,20 @@
   connected.onReached('x1', 1_000);
   assert.deepEqual(connected.takeProbes(targetIds, true, 1_200), []);
 });
+
+test('what ran out during a pause of the VM is no evidence of a cut', () => {
+  // Guards against a VM that wakes up and passes its requests to peers.
+  const reachability = new TargetReachability();
+  reachability.onReached('x0', 0);
+  for (const targetId of ['x1', 'x2', 'x3']) {
+    reachability.onFailed(targetId, 5_000);
+  }
+  reachability.onPause(5_000);
+  reachability.onFailed('x4', 5_010);
+  assert.equal(reachability.update(TARGET_COUNT, 5_010), undefined);
+  for (const targetId of ['x5', 'x6']) {
+    reachability.onFailed(targetId, 5_200);
+  }
+  assert.equal(reachability.update(TARGET_COUNT, 5_200), undefined);
+  assert.equal(reachability.update(TARGET_COUNT, 5_250)?.type, 'cut-off');
+});
