Use one name each for relays and drain notices, and share the proxies of tests

Both daemons call the server for requests of peers the relay server and count relays by direction; the message between VMs carries drain notices, like what it is made of. A VM takes new notices once instead of comparing all of them at each tick, and discards evidence of a cut after a pause. Comments and titles use the terms of the field.

--- a/src/daemon/daemon_metrics.ts
+++ b/src/daemon/daemon_metrics.ts
@@ -26,7 +26,7 @@
   );
   private readonly relays = this.createCounter(
     'relays_total',
-    'Requests passed on by a VM without links to targets, from or to this VM',
+    'Requests relayed by a VM that reaches no target, by direction',
     ['direction'],
   );
   private readonly outcomes = this.createCounter(
@@ -118,14 +118,9 @@
     this.signals.add(signal);
   }
 
-  /** Counts a request that a peer passed to this VM. */
-  onRequestOfPeer(): void {
-    this.relays.add('from-peer');
-  }
-
-  /** Counts a request that this VM passes to a peer. */
-  onRelay(): void {
-    this.relays.add('to-peer');
+  /** Counts a request that a peer relays to this VM, or this VM to a peer. */
+  onRelay(direction: 'from-peer' | 'to-peer'): void {
+    this.relays.add(direction);
   }
 
   /** Counts a probe of a target. */
--- a/src/daemon/effect_runner.ts
+++ b/src/daemon/effect_runner.ts
@@ -102,7 +102,7 @@
     const {engine, metrics} = this.options;
     const {request} = exchange;
     if (request.isRelayed === true) {
-      metrics.onRequestOfPeer();
+      metrics.onRelay('from-peer');
     } else {
       metrics.onRequest(request.service);
     }
@@ -221,7 +221,7 @@
       this.reportCallerGone(token);
       return;
     }
-    this.options.metrics.onRelay();
+    this.options.metrics.onRelay('to-peer');
     this.options.peers.send({
       target: {targetId: host, host, port},
       maxConnections: MAX_PEER_CONNECTIONS,
--- a/src/daemon/relay_test.ts
+++ b/src/daemon/relay_test.ts
@@ -1,6 +1,4 @@
 import assert from 'node:assert/strict';
-import {once} from 'node:events';
-import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import bunyan from 'bunyan';
 import {request as sendRequest} from 'undici';
@@ -10,6 +8,7 @@
 import {TargetLedger} from '../standins/target_ledger.js';
 import {targetSettingsSchema} from '../standins/target_settings.js';
 import {TargetStandin} from '../standins/target_standin.js';
+import {findFreePorts, LinkProxy} from '../target_http/link_proxy_fixture.js';
 import {composeDaemon} from './composition_root.js';
 import type {Daemon} from './daemon.js';
 
@@ -18,11 +17,6 @@
 const CALL_COUNT = 20;
 const STATE_TIMEOUT_MS = 30_000;
 
-/** Range of fixed ports, with a first port that depends on the process. */
-const FIRST_PORT = 14_000;
-const LAST_PORT = 18_999;
-let nextPort = FIRST_PORT + ((process.pid * 16) % (LAST_PORT - FIRST_PORT));
-
 const KIND = {urgent: false, long: false, worth: 1, timeoutMs: 3_000};
 const SERVICE = {
   slotsPerTarget: 4,
@@ -40,75 +34,6 @@
   },
 };
 
-/**
- * Loopback proxies before all targets. During a cut they reset connections that
- * carry attempts of one VM, and all probes, which do not name their VM.
- */
-class LinkProxy {
-  isCut = false;
-  private readonly sockets = new Set<Socket>();
-
-  /** @param vmId - VM that is cut off */
-  constructor(private readonly vmId: string) {}
-
-  async start(t: TestContext, targetPort: number): Promise<number> {
-    const server = createServer(downstream => {
-      const upstream = connect(targetPort, HOST);
-      for (const socket of [downstream, upstream]) {
-        this.sockets.add(socket);
-        socket.on('error', () => undefined);
-        socket.on('close', () => {
-          this.sockets.delete(socket);
-          downstream.destroy();
-          upstream.destroy();
-        });
-      }
-      upstream.pipe(downstream);
-      downstream.on('data', (chunk: Buffer) => {
-        if (this.isCut && this.isOfVm(chunk.toString('latin1'))) {
-          downstream.resetAndDestroy();
-          return;
-        }
-        upstream.write(chunk);
-      });
-    });
-    server.listen(0, HOST);
-    await once(server, 'listening');
-    t.after(() => {
-      server.close();
-      this.sockets.forEach(socket => socket.destroy());
-    });
-    return (server.address() as AddressInfo).port;
-  }
-
-  private isOfVm(head: string): boolean {
-    return (
-      head.startsWith('GET /load') ||
-      head.includes(`x-request-token: ${this.vmId}/`)
-    );
-  }
-}
-
-/**
- * Finds a port that is free now, below the range from which the kernel assigns
- * ports to connections and to other tests.
- */
-async function findFreePort(): Promise<number> {
-  for (;;) {
-    nextPort = nextPort >= LAST_PORT ? FIRST_PORT : nextPort + 1;
-    const server = createServer();
-    server.listen(nextPort, HOST);
-    try {
-      await once(server, 'listening');
-    } catch {
-      continue;
-    }
-    server.close();
-    await once(server, 'close');
-    return nextPort;
-  }
-}
-
 async function startTargets(
   t: TestContext,
   ledger: TargetLedger,
@@ -149,10 +74,11 @@
     readonly vmId: string;
     readonly targetPorts: readonly number[];
     readonly peerPort: number;
+    readonly relayPort: number;
     readonly seedPort: number;
   },
 ): Promise<RunningDaemon> {
-  const {vmId, targetPorts, peerPort, seedPort} = options;
+  const {vmId, targetPorts, peerPort, relayPort, seedPort} = options;
   const platform = new PlatformServer({clock: new SystemClock()});
   const config = {
     revision: 1,
@@ -177,7 +103,7 @@
     caller: {host: HOST, port: 0},
     operator: {host: HOST, port: 0},
     peer: {host: HOST, port: peerPort},
-    relay: {host: HOST, port: await findFreePort()},
+    relay: {host: HOST, port: relayPort},
     platformUrls: [platformUrl],
     seeds: [{host: HOST, port: seedPort}],
     leaveDelayMs: 0,
@@ -237,22 +163,29 @@
 test('a peer serves the callers of a daemon whose links are cut', async t => {
   // Guards against VMs that can only fail the requests of their callers.
   const ledger = new TargetLedger();
-  const proxy = new LinkProxy('e-01');
+  // Probes do not name their VM, so those of both VMs are reset.
+  const proxy = new LinkProxy(
+    head =>
+      head.startsWith('GET /load') || head.includes('x-request-token: e-01/'),
+  );
   const targetPorts = await startTargets(t, ledger);
   const proxyPorts = await Promise.all(
     targetPorts.map(port => proxy.start(t, port)),
   );
-  const [first, second] = [await findFreePort(), await findFreePort()];
+  const [first = 0, second = 0, firstRelay = 0, secondRelay = 0] =
+    await findFreePorts(4);
   const cutOff = await startDaemon(t, {
     vmId: 'e-01',
     targetPorts: proxyPorts,
     peerPort: first,
+    relayPort: firstRelay,
     seedPort: second,
   });
   const peer = await startDaemon(t, {
     vmId: 'e-02',
     targetPorts: proxyPorts,
     peerPort: second,
+    relayPort: secondRelay,
     seedPort: first,
   });
   await waitUntil(async () => {
@@ -260,7 +193,7 @@
     return readies.every(Boolean) && (await metric(cutOff, 'members')) >= 1;
   });
   await waitUntil(async () => (await call(cutOff, '/read/0')).status === 200);
-  proxy.isCut = true;
+  proxy.set('reset');
   await waitUntil(async () => {
     await call(cutOff, '/read/during-cut');
     return (await metric(cutOff, 'cut_off_seconds')) > 0;
@@ -273,7 +206,7 @@
   }
   const carried = await metric(peer, 'relays_total{direction="from-peer"}');
   assert.ok(carried >= 3 * CALL_COUNT, `${carried} requests carried`);
-  proxy.isCut = false;
+  proxy.set('open');
   await waitUntil(async () => (await metric(cutOff, 'cut_off_seconds')) === 0);
   await waitUntil(async () => (await call(cutOff, '/read/2')).status === 200);
 });
--- a/src/entry/composition_root.ts
+++ b/src/entry/composition_root.ts
@@ -50,8 +50,8 @@
 /** Binding of the client for requests that peers carry. */
 const PEER_CLIENT = Symbol('peer client');
 
-/** Binding of the server for requests of peers. */
-const PEER_REQUEST_SERVER = Symbol('peer request server');
+/** Binding of the server for requests that peers relay. */
+const RELAY_SERVER = Symbol('relay server');
 
 /** Options of {@link composeEntry}, which differ between platforms. */
 export interface EntryOptions {
@@ -92,7 +92,7 @@
         engine: get(DeliveryEngine),
         runner: get(DeliveryRunner),
         callers: get<CallerServer<RoutedRequest>>(CallerServer),
-        peerRequests: get<CallerServer<RoutedRequest>>(PEER_REQUEST_SERVER),
+        relayServer: get<CallerServer<RoutedRequest>>(RELAY_SERVER),
         targets: get(TargetClient),
         peers: get<TargetClient>(PEER_CLIENT),
         relays: get(RelayPolicy),
@@ -236,7 +236,7 @@
     runner.attach(server);
     return server;
   });
-  container.bind(PEER_REQUEST_SERVER).toDynamicValue(({get}) => {
+  container.bind(RELAY_SERVER).toDynamicValue(({get}) => {
     const runner = get(DeliveryRunner);
     const server = new CallerServer<RoutedRequest>({
       clock: get(Clock),
--- a/src/entry/delivery_runner.ts
+++ b/src/entry/delivery_runner.ts
@@ -73,7 +73,7 @@
     if (exchange.request.relay === undefined) {
       metrics.onRequest();
     } else {
-      metrics.onRequestOfPeer();
+      metrics.onRelay('from-peer');
     }
     this.feed(nowMs => this.options.engine.onRequest(exchange.request, nowMs));
   }
@@ -213,7 +213,7 @@
     }
     const {host, token, deadlineMs, terms} = effect;
     const {request, body} = exchange;
-    this.options.metrics.onRelay();
+    this.options.metrics.onRelay('to-peer');
     this.options.peers.send({
       target: {targetId: host, host, port: this.options.relayPort},
       maxConnections: MAX_PEER_CONNECTIONS,
--- a/src/entry/drain_sharing.ts
+++ b/src/entry/drain_sharing.ts
@@ -8,7 +8,7 @@
   Dispatch,
   FleetMessage,
   FleetNode,
-  ReportedDrain,
+  ReportedDrainNotice,
 } from '../fleet/index.js';
 import type {DrainNotice} from '../health/index.js';
 import type {LoadBoard} from '../load/index.js';
@@ -34,8 +34,6 @@
  * each head tells the members of its failure domain.
  */
 export class DrainSharing {
-  /** Start of the last notice that this VM has handled, by target. */
-  private readonly handledStartsMs = new Map<string, number>();
   private nextRepetitionMs: InstantMs = 0;
 
   /** @param options - fleet and load board of this VM */
@@ -57,7 +55,7 @@
   } {
     const {board, fleet} = this.options;
     const dispatches: Dispatch[] = [];
-    const added = this.takeUnhandled();
+    const added = board.takeDrainNotices();
     const observed = added.filter(({source}) => source !== 'peer');
     this.addNotices(dispatches, this.headHosts(), observed, nowMs);
     if (fleet.isHead) {
@@ -66,7 +64,6 @@
     if (nowMs >= this.nextRepetitionMs) {
       this.nextRepetitionMs = nowMs + REPETITION_INTERVAL_MS;
       board.pruneDrainNotices(targets, nowMs);
-      this.forgetPruned();
       if (fleet.isHead) {
         const recent = board.drainNotices.filter(
           ({sinceMs}) => nowMs - sinceMs <= MAX_REPEATED_AGE_MS,
@@ -84,37 +81,16 @@
    * @param nowMs - current instant in milliseconds
    */
   onMessage(message: FleetMessage, nowMs: InstantMs): void {
-    if (message.type !== 'drains') {
+    if (message.type !== 'drain-notices') {
       return;
     }
-    for (const {targetId, startedMs, ageMs} of message.drains) {
+    for (const {targetId, startedMs, ageMs} of message.notices) {
       const sinceMs = nowMs - ageMs;
       const notice = {targetId, startedMs, source: 'peer', sinceMs} as const;
       this.options.board.onDrainNotice(notice);
     }
   }
 
-  private takeUnhandled(): readonly DrainNotice[] {
-    const unhandled = this.options.board.drainNotices.filter(
-      ({targetId, startedMs}) =>
-        this.handledStartsMs.get(targetId) !== startedMs,
-    );
-    for (const {targetId, startedMs} of unhandled) {
-      this.handledStartsMs.set(targetId, startedMs);
-    }
-    return unhandled;
-  }
-
-  private forgetPruned(): void {
-    const {drainNotices} = this.options.board;
-    const kept = new Set(drainNotices.map(({targetId}) => targetId));
-    for (const targetId of this.handledStartsMs.keys()) {
-      if (!kept.has(targetId)) {
-        this.handledStartsMs.delete(targetId);
-      }
-    }
-  }
-
   private headHosts(): readonly string[] {
     const {localHeads, otherHeads} = this.options.fleet.roles;
     return [...localHeads, ...otherHeads.flatMap(({hosts}) => hosts)];
@@ -132,10 +108,11 @@
       return;
     }
     for (let i = 0; i < notices.length; i += MAX_NOTICES_PER_MESSAGE) {
-      const drains = notices
+      const reported = notices
         .slice(i, i + MAX_NOTICES_PER_MESSAGE)
         .map(notice => toReported(notice, nowMs));
-      const message = {type: 'drains', sender, drains} as const;
+      const type = 'drain-notices';
+      const message = {type, sender, notices: reported} as const;
       dispatches.push({hosts: others, message});
     }
   }
@@ -144,7 +121,7 @@
 function toReported(
   {targetId, startedMs, sinceMs}: DrainNotice,
   nowMs: InstantMs,
-): ReportedDrain {
+): ReportedDrainNotice {
   const ageMs = Math.max(0, Math.round(nowMs - sinceMs));
   return {targetId, startedMs, ageMs};
 }
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -113,8 +113,8 @@
   readonly engine: DeliveryEngine;
   readonly runner: DeliveryRunner;
   readonly callers: CallerServer<RoutedRequest>;
-  /** Server for requests that peers pass to this VM. */
-  readonly peerRequests: CallerServer<RoutedRequest>;
+  /** Server for requests that peers relay to this VM. */
+  readonly relayServer: CallerServer<RoutedRequest>;
   readonly targets: TargetClient;
   /** Client for requests that peers carry. */
   readonly peers: TargetClient;
@@ -167,7 +167,7 @@
   async start(): Promise<void> {
     const {settings, fleet, callers, link, published, status} = this.parts;
     const {log, metrics, engine, targets, state, reader, clock} = this.parts;
-    const {quarantine, board, relays, peerRequests} = this.parts;
+    const {quarantine, board, relays, relayServer} = this.parts;
     fleet.setSeeds(settings.seedHosts);
     metrics.registerGauges({
       openRequests: () => engine.openCount,
@@ -190,7 +190,7 @@
     await link.open();
     await status.listen();
     await published.listen(settings.host, settings.peerPort);
-    await peerRequests.listen({
+    await relayServer.listen({
       host: settings.host,
       port: settings.relayPort,
     });
@@ -270,13 +270,13 @@
     if (this.lifecycle === 'leaving') {
       return;
     }
-    const {fleet, callers, peerRequests, clock, log, engine} = this.parts;
+    const {fleet, callers, relayServer, clock, log, engine} = this.parts;
     this.lifecycle = 'leaving';
     log.info('process', 'leaving', {openRequests: engine.openCount});
     fleet.setState('leaving');
     this.sendAll(fleet.announce(clock.nowMs()));
     callers.beginDrain();
-    peerRequests.beginDrain();
+    relayServer.beginDrain();
     const {stopGraceMs} = this.parts.settings;
     const endDelayMs = stopGraceMs - STOP_MARGIN_MS;
     engine.beginLeaving(clock.nowMs() + endDelayMs);
@@ -288,7 +288,7 @@
   }
 
   private stopListening(): void {
-    const servers = [this.parts.callers, this.parts.peerRequests];
+    const servers = [this.parts.callers, this.parts.relayServer];
     servers.forEach(server => {
       server.stopListening();
       server.closeIdle();
@@ -309,7 +309,7 @@
     this.timers.forEach(timer => clearInterval(timer));
     this.parts.reader.setActive(false);
     this.parts.callers.destroy();
-    this.parts.peerRequests.destroy();
+    this.parts.relayServer.destroy();
     this.parts.targets.close();
     this.parts.peers.close();
     this.parts.link.close();
@@ -413,6 +413,7 @@
       return;
     }
     this.parts.fleet.resetConfirmations();
+    this.parts.relays.reachability.onPause(nowMs);
     this.parts.log.info('process', 'paused or clock changed', {
       gapMs: Math.round(pause === undefined ? 0 : nowMs - pause.lastTickMs),
       clockJumpMs: Math.round(jumpMs),
@@ -544,7 +545,7 @@
       engine.applyRoutes(this.routes);
       const limits = deriveCallerLimits(state.routes.bounds);
       this.parts.callers.applyLimits(limits);
-      this.parts.peerRequests.applyLimits(limits);
+      this.parts.relayServer.applyLimits(limits);
     }
     if (routesChanged || changedTargetIds.length > 0) {
       log.info('published', 'adopted', {
--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -34,14 +34,10 @@
     help: 'Requests of callers',
     registers: [this.registry],
   });
-  private readonly requestsOfPeers = new Counter({
-    name: 'sycamorepitch_peer_requests_total',
-    help: 'Requests that peers without links to targets passed to this VM',
-    registers: [this.registry],
-  });
   private readonly relays = new Counter({
     name: 'sycamorepitch_relays_total',
-    help: 'Requests that this VM passed to a peer',
+    help: 'Requests relayed by a VM that reaches no target, by direction',
+    labelNames: ['direction'],
     registers: [this.registry],
   });
   private readonly attempts = new Counter({
@@ -99,14 +95,9 @@
     this.requests.inc();
   }
 
-  /** Counts a request that a peer passed to this VM. */
-  onRequestOfPeer(): void {
-    this.requestsOfPeers.inc();
-  }
-
-  /** Counts a request that this VM passes to a peer. */
-  onRelay(): void {
-    this.relays.inc();
+  /** Counts a request that a peer relays to this VM, or this VM to a peer. */
+  onRelay(direction: 'from-peer' | 'to-peer'): void {
+    this.relays.inc({direction});
   }
 
   /** Counts an attempt at a target. */
@@ -178,7 +169,7 @@
   private registerAvoidedTargets(read: () => readonly AvoidedTarget[]): void {
     new Gauge({
       name: 'sycamorepitch_avoided_target',
-      help: 'Targets that this VM leaves alone, and why',
+      help: 'Targets that this VM avoids, by reason',
       labelNames: ['target', 'reason'],
       registers: [this.registry],
       collect() {
--- a/src/entry/load_sharing_test.ts
+++ b/src/entry/load_sharing_test.ts
@@ -264,8 +264,8 @@
 });
 
 test('a head whose links may have failed reports nothing about targets', () => {
-  // Guards against targets that the whole fleet avoids on the word of a VM that
-  // is cut off from all of them.
+  // Guards against targets that the whole fleet avoids because a
+  // VM that is cut off reports them as unreachable.
   const [head, , member] = createDomain();
   for (const vm of [head, member]) {
     vm.board.onSent('x', 0);
@@ -280,7 +280,7 @@
   assert.equal(member.tick(30).dispatches.length, 1);
 });
 
-test('the word of a VM that is cut off from all targets is ignored', () => {
+test('reports of a VM that is cut off from all targets are ignored', () => {
   // Guards against tables that were sent before the head knew of its cut.
   const [head, standby, member] = createDomain();
   const sender = {...head.fleet.reportSelf(), reachesTargets: false};
--- a/src/entry/peer_message_fuzz_test.ts
+++ b/src/entry/peer_message_fuzz_test.ts
@@ -80,9 +80,9 @@
     clearedFingerprints: ['g'],
   },
   {
-    type: 'drains',
+    type: 'drain-notices',
     sender: SENDER,
-    drains: [{targetId: 'x', startedMs: 1, ageMs: 40}],
+    notices: [{targetId: 'x', startedMs: 1, ageMs: 40}],
   },
   {
     type: 'limit-report',
--- a/src/fleet/fleet_node.ts
+++ b/src/fleet/fleet_node.ts
@@ -46,7 +46,7 @@
  * Members that a head lists in addition while some VMs reach no target. Drawn
  * anew each time, so that the VMs that need them learn of many.
  */
-const MAX_LISTED_RELAYS = 8;
+const MAX_LISTED_RELAY_CANDIDATES = 8;
 
 /**
  * Maximum number of members that a head lists to its members, highest rank
@@ -549,7 +549,7 @@
       const members = [
         ...ranked.slice(0, MAX_LISTED_MEMBERS),
         ...this.otherDomainHeads(nowMs),
-        ...this.drawRelays(nowMs),
+        ...this.drawRelayCandidates(nowMs),
       ];
       const listed = this.toReported(members, nowMs);
       this.enqueue(
@@ -566,7 +566,7 @@
       );
       const members = [
         ...ranked.slice(0, MAX_LISTED_HEADS),
-        ...this.drawRelays(nowMs, localDomain),
+        ...this.drawRelayCandidates(nowMs, localDomain),
       ];
       const listed = this.toReported(members, nowMs);
       const hosts = this.otherHeadHosts();
@@ -575,7 +575,7 @@
   }
 
   /** Draws members that reach targets; none unless some VM does not. */
-  private drawRelays(
+  private drawRelayCandidates(
     nowMs: InstantMs,
     failureDomain?: string,
   ): readonly Member[] {
@@ -590,7 +590,7 @@
         (failureDomain ?? each.failureDomain) === each.failureDomain,
     );
     const drawn: Member[] = [];
-    while (drawn.length < MAX_LISTED_RELAYS && able.length > 0) {
+    while (drawn.length < MAX_LISTED_RELAY_CANDIDATES && able.length > 0) {
       const index = Math.floor(this.options.random.nextFloat() * able.length);
       drawn.push(...able.splice(index, 1));
     }
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -121,8 +121,8 @@
   readonly clearedFingerprints: readonly string[];
 }
 
-/** Drain that a target has announced, as reported by a VM. */
-export interface ReportedDrain {
+/** Announcement of a target that it drains, as reported by a VM. */
+export interface ReportedDrainNotice {
   readonly targetId: string;
   /** Distinguishes starts of the target under its id. */
   readonly startedMs: number;
@@ -131,10 +131,10 @@
 }
 
 /** Drains that targets have announced in their responses. */
-export interface Drains {
-  readonly type: 'drains';
+export interface DrainNotices {
+  readonly type: 'drain-notices';
   readonly sender: ReportedMember;
-  readonly drains: readonly ReportedDrain[];
+  readonly notices: readonly ReportedDrainNotice[];
 }
 
 /** Limit that a target names, as reported by a VM. */
@@ -174,7 +174,7 @@
   | Changes
   | LoadTable
   | OutcomeReport
-  | Drains
+  | DrainNotices
   | LimitReport
   | LimitGrants;
 
--- a/src/health/drain_notices.ts
+++ b/src/health/drain_notices.ts
@@ -43,6 +43,7 @@
  */
 export class DrainNotices {
   private readonly notices = new Map<string, DrainNotice>();
+  private recorded: DrainNotice[] = [];
 
   /** All notices, oldest first. */
   get all(): readonly DrainNotice[] {
@@ -63,6 +64,7 @@
     }
     this.notices.delete(targetId);
     this.notices.set(targetId, notice);
+    this.recorded.push(notice);
     const [oldestId] = this.notices.keys();
     if (this.notices.size > MAX_NOTICE_COUNT && oldestId !== undefined) {
       this.notices.delete(oldestId);
@@ -70,6 +72,13 @@
     return true;
   }
 
+  /** Returns the notices recorded since the last call. */
+  takeRecorded(): readonly DrainNotice[] {
+    const {recorded} = this;
+    this.recorded = [];
+    return recorded;
+  }
+
   /** Returns whether this start of a target, or a later one, drains. */
   covers({targetId, startedMs}: TargetStart): boolean {
     const notice = this.notices.get(targetId);
--- a/src/load/load_board.ts
+++ b/src/load/load_board.ts
@@ -113,7 +113,17 @@
     return isNew;
   }
 
-  /** Drops notices that are no longer needed. */
+  /** Returns the notices recorded since the last call. */
+  takeDrainNotices(): readonly DrainNotice[] {
+    return this.notices.takeRecorded();
+  }
+
+  /**
+   * Drops notices that are no longer needed.
+   *
+   * @param targets - registered targets by id
+   * @param nowMs - current instant in milliseconds
+   */
   pruneDrainNotices(
     targets: ReadonlyMap<string, KnownTarget>,
     nowMs: InstantMs,
@@ -121,7 +131,7 @@
     this.notices.prune(targets, nowMs);
   }
 
-  /** Returns whether a target drains, by its registration or its own word. */
+  /** Returns whether a target drains, by its registration or its responses. */
   isDraining(targetId: string): boolean {
     return this.records.get(targetId)?.isDraining ?? false;
   }
@@ -146,7 +156,7 @@
     return this.targetsOf(service).records.map(({target}) => target);
   }
 
-  /** Lists the registered targets that this VM leaves alone. */
+  /** Lists the registered targets that this VM avoids. */
   avoidedTargets(nowMs: InstantMs): readonly AvoidedTarget[] {
     return [...this.records.values()].flatMap(record => {
       const reason = record.avoidedReason(nowMs);
--- a/src/load/target_record.ts
+++ b/src/load/target_record.ts
@@ -67,7 +67,7 @@
     return this.isListed && !this.isDraining;
   }
 
-  /** True if the target drains, by its registration or its own word. */
+  /** True if the target drains, by its registration or its responses. */
   get isDraining(): boolean {
     return this.registration.draining || this.hasDrainNotice;
   }
@@ -194,7 +194,7 @@
     return Math.max(this.ownCount, expected);
   }
 
-  /** Returns why this VM leaves the target alone; undefined if it does not. */
+  /** Returns why this VM avoids the target; undefined if it does not. */
   avoidedReason(nowMs: InstantMs): AvoidedTarget['reason'] | undefined {
     if (this.registration.draining) {
       return 'draining';
--- a/src/load/types.ts
+++ b/src/load/types.ts
@@ -53,7 +53,7 @@
   readonly slowedDurationMs: number;
 }
 
-/** Target that a VM leaves alone, and why. */
+/** Target that a VM avoids, and why. */
 export interface AvoidedTarget {
   readonly targetId: string;
   /**
--- a/src/peer_datagram/fleet_codec.ts
+++ b/src/peer_datagram/fleet_codec.ts
@@ -100,9 +100,9 @@
         message.implications.map(packImplication),
         message.clearedFingerprints,
       ];
-    case 'drains':
+    case 'drain-notices':
       return [
-        message.drains.map(({targetId, startedMs, ageMs}) => [
+        message.notices.map(({targetId, startedMs, ageMs}) => [
           targetId,
           startedMs,
           ageMs,
@@ -159,11 +159,11 @@
         implications: reader.array(unpackImplication),
         clearedFingerprints: reader.optionalStrings(),
       };
-    case 'drains':
+    case 'drain-notices':
       return {
         type,
         sender,
-        drains: reader.array(each => ({
+        notices: reader.array(each => ({
           targetId: each.string(),
           startedMs: each.count(),
           ageMs: each.count(),
--- a/src/peer_datagram/fleet_codec_test.ts
+++ b/src/peer_datagram/fleet_codec_test.ts
@@ -149,9 +149,9 @@
     clearedFingerprints: fc.array(text, {maxLength: 4}),
   }),
   fc.record({
-    type: fc.constant('drains' as const),
+    type: fc.constant('drain-notices' as const),
     sender: member,
-    drains: fc.array(
+    notices: fc.array(
       fc.record({targetId: text, startedMs: count, ageMs: count}),
       {maxLength: 4},
     ),
