--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -32,6 +32,7 @@
   apply: 2000,
   maxSkew: 5000,
   lossSlack: 200,
+  recover: 15_000,
 };
 
 const ZONES = ['bagmati-a', 'bagmati-b', 'bagmati-c'];
@@ -61,6 +62,9 @@
 
   /** @param caseFolder - folder of the case, for `record.txt` */
   constructor(caseFolder) {
+    process.once('exit', () => this.#killDaemons());
+    process.once('SIGTERM', () => process.exit(EXIT.notRun));
+    process.once('SIGINT', () => process.exit(EXIT.notRun));
     this.#record = createWriteStream(join(caseFolder, 'record.txt'));
     this.block = pickBlock();
   }
@@ -276,12 +280,16 @@
       .filter(line => line.includes(text));
   }
 
-  async stop() {
+  #killDaemons() {
     for (const {child} of this.daemons) {
       if (child !== undefined && child.exitCode === null) {
         child.kill('SIGKILL');
       }
     }
+  }
+
+  async stop() {
+    this.#killDaemons();
     this.store.close();
     await sleep(100);
     await new Promise(resolve => this.#record.end(resolve));
--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -12,6 +12,9 @@
 export class ServiceServer {
   /** All runs of requests: attempt id, path and instant of the begin. */
   runs = [];
+  /** Share of the requests that get no answer; health and load stay good. */
+  hangShare = 0;
+  hungCount = 0;
   #running = 0;
   #queue = [];
   #server = createServer({keepAliveTimeout: IDLE_CLOSE_MS});
@@ -70,6 +73,10 @@
   #accept(request, response, chunks) {
     const expected = request.headers['x-expect-instance'];
     const job = {request, response, bytes: Buffer.concat(chunks)};
+    if (Math.random() < this.hangShare) {
+      this.hungCount += 1;
+      return;
+    }
     if (expected !== undefined && expected !== this.options.id) {
       this.#refuse(job, 421);
     } else if (request.headers['x-attempt-id'] === undefined) {
