--- a/src/caller_http/caller_server_test.ts
+++ b/src/caller_http/caller_server_test.ts
@@ -1,87 +1,15 @@
 import assert from 'node:assert/strict';
-import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
-import {test, type TestContext} from 'node:test';
-import {SystemClock} from '../core/index.js';
+import {test} from 'node:test';
 import {MemoryBudget} from '../memory/index.js';
 import {TargetResponse} from '../target_http/index.js';
 import {
-  CallerServer,
-  DEFAULT_CALLER_LIMITS,
-  NativeCallerProtocol,
-  type Exchange,
-} from './index.js';
-
-interface Fixture {
-  readonly server: CallerServer;
-  readonly port: number;
-  readonly exchanges: Exchange[];
-  readonly goneRequestIds: string[];
-}
-
-async function startServer(
-  t: TestContext,
-  onRequest: (exchange: Exchange, server: CallerServer) => void,
-  limits: Partial<typeof DEFAULT_CALLER_LIMITS> = {},
-  budget = new MemoryBudget(1_000_000),
-): Promise<Fixture> {
-  const exchanges: Exchange[] = [];
-  const goneRequestIds: string[] = [];
-  const server = new CallerServer({
-    clock: new SystemClock(),
-    limits: {...DEFAULT_CALLER_LIMITS, maxBodyBytes: 100, ...limits},
-    protocol: new NativeCallerProtocol(),
-    budget,
-    listener: {
-      onRequest: exchange => {
-        exchanges.push(exchange);
-        onRequest(exchange, server);
-      },
-      onCallerGone: requestId => goneRequestIds.push(requestId),
-    },
-  });
-  const port = await server.listen({host: '127.0.0.1', port: 0});
-  t.after(() => server.destroy());
-  return {server, port, exchanges, goneRequestIds};
-}
-
-/** Returns a complete response. */
-function completeResponse(
-  body: string,
-  headers = {},
-  status = 200,
-): TargetResponse {
-  const source = {
-    pause: () => undefined,
-    resume: () => undefined,
-    abort: () => undefined,
-  };
-  const response = new TargetResponse('t', status, headers, source);
-  response.push(Buffer.from(body), 1_000_000);
-  response.finish();
-  return response;
-}
-
-function echo(exchange: Exchange): void {
-  exchange.forward(completeResponse(exchange.request.path));
-}
-
-/** Sends raw text, and returns what is received until the connection closes. */
-async function sendRaw(port: number, ...parts: string[]): Promise<string> {
-  const socket = connect(port, '127.0.0.1');
-  let received = '';
-  socket.on('data', data => (received += data.toString('latin1')));
-  socket.on('error', () => undefined);
-  const closed = once(socket, 'close');
-  for (const part of parts) {
-    socket.write(part);
-    await new Promise(resolve => setTimeout(resolve, 5));
-  }
-  await closed;
-  return received;
-}
-
-const HOST = 'host: desk.example\r\n';
+  completeResponse,
+  echo,
+  HOST,
+  sendRaw,
+  startServer,
+} from './caller_server_fixture.js';
 
 test('responses to pipelined requests are sent in order', async t => {
   // Guards against callers that receive the response to another request.
