Answer requests that were sent behind others before a connection closes

Cause: the closing answer was chosen when a head was read. node:http drops all answers behind the first one that closes.

Change: CallerConnection knows the answers that are due. The choice falls when the head of an answer is written, and what is read behind a closing answer is not passed on. The same cause is mended in refusals that close, before malformed bytes, and before CONNECT.

--- /dev/null
+++ b/src/caller_http/caller_connection.ts
@@ -0,0 +1,90 @@
+/**
+ * Connection of a caller and the responses that are due on it.
+ *
+ * @packageDocumentation
+ */
+import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+/**
+ * Decides which response is the last one of a connection. node:http sends the
+ * responses in the order of their requests, and closes the connection after the
+ * first one that says so; those behind it are dropped. So the closing response
+ * must have nothing behind it: either it is the last one that is due, or what
+ * arrives behind it is not accepted.
+ */
+export class CallerConnection {
+  /** Requests that were passed on and are in progress. */
+  readonly requestIds = new Set<string>();
+  /** Responses that were not sent to their end, in the order of requests. */
+  private readonly dueResponses: ServerResponse[] = [];
+  private closingResponse: ServerResponse | undefined;
+  private unreadResponse: ServerResponse | undefined;
+
+  /** @param socket - connection to the caller */
+  constructor(readonly socket: Socket) {}
+
+  /** Number of responses that were not sent to their end. */
+  get dueCount(): number {
+    return this.dueResponses.length;
+  }
+
+  /**
+   * Accepts a request whose head was read.
+   *
+   * @param response - response to the request
+   * @returns false if the request is behind a closing response. It counts as not
+   *     read then: it must not be passed on, and no response to it can be sent.
+   */
+  accept(response: ServerResponse): boolean {
+    if (this.closingResponse !== undefined) {
+      return false;
+    }
+    this.dueResponses.push(response);
+    this.unreadResponse = response;
+    response.once('close', () => this.remove(response));
+    if (!response.shouldKeepAlive) {
+      this.closingResponse = response;
+    }
+    return true;
+  }
+
+  /** Records that the last accepted request was read to its end. */
+  markRead(): void {
+    this.unreadResponse = undefined;
+  }
+
+  /** Gives up the last accepted request if it was not read to its end. */
+  abandonUnread(): void {
+    const response = this.unreadResponse;
+    if (response !== undefined && !response.headersSent) {
+      this.remove(response);
+    }
+  }
+
+  /** Returns whether nothing was accepted behind a response. */
+  isLast(response: ServerResponse): boolean {
+    return this.dueResponses.at(-1) === response;
+  }
+
+  /** Closes the connection after the last response that is due. */
+  closeAfterLast(): void {
+    const last = this.dueResponses.at(-1);
+    if (last === undefined || this.closingResponse !== undefined) {
+      return;
+    }
+    this.closingResponse = last;
+    if (last.headersSent) {
+      last.once('finish', () => this.socket.end());
+    } else {
+      last.shouldKeepAlive = false;
+    }
+  }
+
+  private remove(response: ServerResponse): void {
+    const position = this.dueResponses.indexOf(response);
+    if (position >= 0) {
+      this.dueResponses.splice(position, 1);
+    }
+  }
+}
--- a/src/caller_http/caller_server.ts
+++ b/src/caller_http/caller_server.ts
@@ -14,6 +14,7 @@
 import type {CallerRequest, RequestOutcome} from '../engine/index.js';
 import {MemoryBudget, memoryCapacityBytes} from '../memory/index.js';
 import type {TargetResponse} from '../target_http/index.js';
+import type {CallerConnection} from './caller_connection.js';
 import type {
   CallerProtocol,
   IdentifiedRequest,
@@ -140,10 +141,10 @@
   private readonly connections = new ConnectionTable();
   private readonly costlyBodies = new CostlyBodies();
   private readonly budget: MemoryBudget;
-  private readonly failedSockets = new WeakSet<Socket>();
   private requestCount = 0;
   private lastConnectionMs = -Infinity;
   private isStopping = false;
+  private isListening = true;
 
   /** @param options - clock, limits, protocol and listener */
   constructor(private readonly options: CallerServerOptions<R>) {
@@ -168,14 +169,18 @@
     this.server.on('checkContinue', (request, response) =>
       this.onHead(request, response, true),
     );
-    this.server.on('checkExpectation', (_request, response) =>
-      writeRefusal(response, {
-        ...notRunRefusal(417, 'expectation-failed'),
-        close: true,
-      }),
-    );
+    this.server.on('checkExpectation', (request, response) => {
+      const connection = this.accept(request, response);
+      if (connection !== undefined) {
+        const refusal = notRunRefusal(417, 'expectation-failed');
+        this.refuseAndClose(connection, response, refusal);
+      }
+    });
     this.server.on('connect', (_request, socket: Socket) =>
-      socket.end(formatRefusal(501, 'Not Implemented', 'method-not-supported')),
+      this.endUnreadable(
+        socket,
+        formatRefusal(501, 'Not Implemented', 'method-not-supported'),
+      ),
     );
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.onClientError(error, socket as Socket),
@@ -269,17 +274,19 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
-  /** Closes each connection after its next response. */
+  /** Closes each connection after a response that has no request behind it. */
   beginDrain(): void {
     this.isStopping = true;
   }
 
   /**
    * Stops accepting connections. Open ones are kept, since a request may be in
-   * transit on each; a connection that carries one closes after its response.
+   * transit on each. A connection that carries requests closes after the
+   * response to the last one that was read, also if others follow it.
    */
   stopListening(): void {
     this.isStopping = true;
+    this.isListening = false;
     // `close` of node:http would also close connections whose request has
     // arrived but has not been read yet.
     NetServer.prototype.close.call(this.server);
@@ -298,9 +305,10 @@
 
   private onConnection(socket: Socket): void {
     this.lastConnectionMs = this.options.clock.nowMs();
-    this.connections.add(socket);
+    const {requestIds} = this.connections.add(socket);
     socket.on('close', () => {
-      for (const requestId of this.connections.delete(socket)) {
+      this.connections.delete(socket);
+      for (const requestId of requestIds) {
         this.exchanges.delete(requestId);
         this.options.listener.onCallerGone(requestId);
       }
@@ -316,31 +324,24 @@
     response: ServerResponse,
     expectsContinue: boolean,
   ): void {
-    // A reset by the caller is handled on `close` of the socket.
-    request.on('error', () => undefined);
-    response.on('error', () => undefined);
-    if (this.isStopping) {
-      response.shouldKeepAlive = false;
+    const connection = this.accept(request, response);
+    if (connection === undefined) {
+      return;
     }
-    if (
-      this.connections.requestCount(request.socket) >= MAX_PIPELINED_REQUESTS
-    ) {
-      this.refuseProtected(response, 'too-many-pipelined', 503);
+    if (connection.requestIds.size >= MAX_PIPELINED_REQUESTS) {
+      this.refuseProtected(connection, response, 'too-many-pipelined', 503);
       return;
     }
     const {maxBodyBytes} = this.limits;
     if (Number(request.headers['content-length'] ?? 0) > maxBodyBytes) {
-      writeRefusal(response, {
-        ...notRunRefusal(413, 'body-too-large'),
-        close: true,
-      });
+      const refusal = notRunRefusal(413, 'body-too-large');
+      this.refuseAndClose(connection, response, refusal);
       return;
     }
     if (UNSENDABLE_TARGET.test(request.url ?? '')) {
-      writeRefusal(response, {
+      this.refuseAndClose(connection, response, {
         ...notRunRefusal(400, 'bad-request'),
         message: 'request target: expected no control characters',
-        close: true,
       });
       return;
     }
@@ -353,12 +354,14 @@
     });
     if (parsed.isErr()) {
       const {message} = parsed.error;
-      const close = hasBody(request);
-      writeRefusal(response, {
-        ...notRunRefusal(400, 'bad-request'),
-        message,
-        close,
-      });
+      const refusal = {...notRunRefusal(400, 'bad-request'), message};
+      if (hasBody(request)) {
+        this.refuseAndClose(connection, response, refusal);
+      } else {
+        connection.markRead();
+        this.beforeHead(connection, response);
+        writeRefusal(response, refusal);
+      }
       return;
     }
     if (expectsContinue) {
@@ -366,7 +369,7 @@
     }
     if (!hasBody(request)) {
       request.resume();
-      this.onBody({request, response, build: parsed.value});
+      this.onBody({connection, request, response, build: parsed.value});
       return;
     }
     const {clock} = this.options;
@@ -379,17 +382,57 @@
       maxBytes: () => this.limits.maxBodyBytes,
       listener: {
         onComplete: body =>
-          this.onBody({request, response, build: parsed.value, body, holder}),
+          this.onBody({
+            connection,
+            request,
+            response,
+            build: parsed.value,
+            body,
+            holder,
+          }),
         onRefused: reason => {
           const status = reason === 'body-too-large' ? 413 : 503;
-          this.refuseProtected(response, reason, status);
+          this.refuseProtected(connection, response, reason, status);
         },
       },
     });
   }
 
+  /**
+   * Accepts a request whose head was read.
+   *
+   * @returns its connection; undefined if no response to it can be sent
+   */
+  private accept(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): CallerConnection | undefined {
+    // A reset by the caller is handled on `close` of the socket.
+    request.on('error', () => undefined);
+    response.on('error', () => undefined);
+    const connection = this.connections.get(request.socket);
+    if (connection?.accept(response) === true) {
+      return connection;
+    }
+    // Unread bytes would turn the close of the connection into a reset.
+    request.resume();
+    return undefined;
+  }
+
+  /** Decides whether the connection closes after a response. */
+  private beforeHead(
+    connection: CallerConnection,
+    response: ServerResponse,
+  ): void {
+    const isLast = connection.isLast(response);
+    if (this.isStopping && (isLast || !this.isListening)) {
+      connection.closeAfterLast();
+    }
+  }
+
   /** Refuses a request that was not read to its end, and closes. */
   private refuseProtected(
+    connection: CallerConnection,
     response: ServerResponse,
     reason: ProtectionReason,
     status: 413 | 503,
@@ -398,19 +441,29 @@
     if (response.headersSent) {
       return;
     }
-    writeRefusal(response, {
+    this.refuseAndClose(connection, response, {
       ...notRunRefusal(status, reason),
       retryAfterSeconds: status === 503 ? MEMORY_RETRY_SECONDS : undefined,
-      close: true,
     });
   }
 
+  /** Refuses the last request that was accepted, and closes. */
+  private refuseAndClose(
+    connection: CallerConnection,
+    response: ServerResponse,
+    refusal: RefusalFields,
+  ): void {
+    connection.closeAfterLast();
+    writeRefusal(response, refusal);
+  }
+
   private onBody(parts: RequestParts<R>): void {
-    const {request, response, body, holder} = parts;
-    const {socket} = request;
+    const {connection, request, response, body, holder} = parts;
+    const {socket} = connection;
     const {protocol} = this.options;
     const release = (): void => holder?.release();
-    if (!this.connections.has(socket) || socket.destroyed) {
+    connection.markRead();
+    if (this.connections.get(socket) === undefined || socket.destroyed) {
       release();
       return;
     }
@@ -422,14 +475,15 @@
       body !== undefined && body.length > 0 ? body : undefined,
       response,
       {
-        onResponded: () => this.onResponded(requestId, socket),
+        beforeHead: () => this.beforeHead(connection, response),
+        onResponded: () => this.onResponded(requestId, connection),
         holdAnswer: sizeBytes => this.holdAnswer(response, sizeBytes),
       },
       protocol,
     );
     // Until the caller is answered or has disconnected.
     response.once('close', release);
-    this.connections.addRequest(socket, requestId);
+    this.connections.addRequest(connection, requestId);
     this.exchanges.set(requestId, exchange);
     this.options.listener.onRequest(exchange);
   }
@@ -444,32 +498,39 @@
     });
   }
 
-  private onResponded(requestId: string, socket: Socket): void {
+  private onResponded(requestId: string, connection: CallerConnection): void {
     this.exchanges.delete(requestId);
-    this.connections.deleteRequest(socket, requestId);
-    const isDone = this.connections.requestCount(socket) === 0;
-    if (this.failedSockets.has(socket) && isDone) {
-      socket.end();
-    }
+    connection.requestIds.delete(requestId);
   }
 
   private onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (this.connections.requestCount(socket) > 0) {
-      // The caller would read a response written now as that of an earlier
-      // request.
-      this.failedSockets.add(socket);
+    const connection = this.connections.get(socket);
+    connection?.abandonUnread();
+    const isFailed = error.code === 'ECONNRESET' || !socket.writable;
+    if (isFailed && (connection?.dueCount ?? 0) === 0) {
+      socket.destroy();
       return;
     }
-    if (error.code === 'ECONNRESET' || !socket.writable) {
-      socket.destroy();
+    this.endUnreadable(socket, formatParseRefusal(error.code));
+  }
+
+  /**
+   * Ends a connection of which nothing more can be read. The refusal is sent only
+   * if no response is due: the caller would take it for that one.
+   */
+  private endUnreadable(socket: Socket, refusal: string): void {
+    const connection = this.connections.get(socket);
+    if (connection !== undefined && connection.dueCount > 0) {
+      connection.closeAfterLast();
       return;
     }
-    socket.end(formatParseRefusal(error.code), () => socket.destroy());
+    socket.end(refusal, () => socket.destroy());
   }
 }
 
 /** Parts of a request whose body was read. */
 interface RequestParts<R> {
+  readonly connection: CallerConnection;
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly build: RequestBuilder<R>;
--- /dev/null
+++ b/src/caller_http/connection_end_test.ts
@@ -0,0 +1,161 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  echo,
+  HOST,
+  sendRaw,
+  startServer,
+  type CallerServerFixture,
+} from './caller_server_fixture.js';
+
+function get(path: string): string {
+  return `GET ${path} HTTP/1.1\r\n${HOST}\r\n`;
+}
+
+/** Waits until a number of requests was passed on. */
+async function waitForRequests(
+  {exchanges}: CallerServerFixture,
+  count: number,
+): Promise<void> {
+  while (exchanges.length < count) {
+    await new Promise(setImmediate);
+  }
+}
+
+/** Returns the paths that echoed responses name, in order. */
+function pathsOf(received: string): readonly string[] {
+  return received.match(/^\/\d+/gm) ?? [];
+}
+
+test('a stop answers the requests behind the first one', async t => {
+  // Guards against the close of a connection with the first of its responses.
+  const fixture = await startServer(t, () => undefined);
+  fixture.server.beginDrain();
+  const sending = sendRaw(fixture.port, get('/1') + get('/2') + get('/3'));
+  await waitForRequests(fixture, 3);
+  for (const exchange of fixture.exchanges) {
+    echo(exchange);
+    await sleep(5);
+  }
+  const received = await sending;
+  assert.deepEqual(pathsOf(received), ['/1', '/2', '/3']);
+  const heads = received.split('HTTP/1.1 200 OK').slice(1);
+  assert.deepEqual(
+    heads.map(head => /connection: close/i.test(head)),
+    [false, false, true],
+  );
+});
+
+test('a stop that begins between requests and responses answers them all', async t => {
+  // Guards against responses that are lost when they are ready out of order.
+  const fixture = await startServer(t, () => undefined);
+  const sending = sendRaw(fixture.port, get('/1') + get('/2') + get('/3'));
+  await waitForRequests(fixture, 3);
+  const [first, second, third] = fixture.exchanges;
+  echo(second!);
+  fixture.server.beginDrain();
+  echo(third!);
+  echo(first!);
+  assert.deepEqual(pathsOf(await sending), ['/1', '/2', '/3']);
+});
+
+test('a connection that always has a request behind ends after the port is closed', async t => {
+  // Guards against a stop that cuts such a connection at its end.
+  const fixture = await startServer(t, () => undefined);
+  const {server, exchanges, port} = fixture;
+  const socket = connect(port, '127.0.0.1');
+  let received = '';
+  socket.on('data', data => (received += data.toString()));
+  const closed = once(socket, 'close');
+  socket.write(get('/1') + get('/2'));
+  await waitForRequests(fixture, 2);
+  server.beginDrain();
+  echo(exchanges[0]!);
+  socket.write(get('/3'));
+  await waitForRequests(fixture, 3);
+  server.stopListening();
+  echo(exchanges[1]!);
+  socket.write(get('/4'));
+  await sleep(20);
+  echo(exchanges[2]!);
+  await closed;
+  assert.equal(exchanges.length, 3);
+  assert.deepEqual(pathsOf(received), ['/1', '/2', '/3']);
+});
+
+test('a request behind a closing response is not passed on', async t => {
+  // Guards against requests that run although their responses cannot be sent.
+  const fixture = await startServer(t, () => undefined);
+  const {server, exchanges, port} = fixture;
+  const socket = connect(port, '127.0.0.1');
+  let received = '';
+  socket.on('data', data => (received += data.toString()));
+  const closed = once(socket, 'close');
+  socket.write(get('/1') + get('/2'));
+  await waitForRequests(fixture, 2);
+  server.beginDrain();
+  echo(exchanges[1]!);
+  socket.write(get('/3'));
+  await sleep(20);
+  echo(exchanges[0]!);
+  await closed;
+  assert.equal(exchanges.length, 2);
+  assert.deepEqual(pathsOf(received), ['/1', '/2']);
+});
+
+/** Requests that are refused with the close of their connection. */
+const CLOSING_REFUSALS = {
+  'a body that is too large': `POST /0 HTTP/1.1\r\n${HOST}transfer-encoding: chunked\r\n\r\n80\r\n${'x'.repeat(128)}\r\n0\r\n\r\n`,
+  'an expectation': `GET /0 HTTP/1.1\r\n${HOST}expect: magic\r\n\r\n`,
+  'a head that is refused before its body': `POST /0 HTTP/1.1\r\n${HOST}x-attempt: 0\r\ncontent-length: 1\r\n\r\nx`,
+};
+
+for (const [name, refused] of Object.entries(CLOSING_REFUSALS)) {
+  test(`nothing behind a refusal that closes is passed on: ${name}`, async t => {
+    // Guards against requests that run although their responses cannot be sent.
+    const fixture = await startServer(t, () => undefined);
+    const sending = sendRaw(fixture.port, get('/1') + refused, get('/2'));
+    await waitForRequests(fixture, 1);
+    await sleep(20);
+    echo(fixture.exchanges[0]!);
+    assert.deepEqual(pathsOf(await sending), ['/1']);
+    assert.equal(fixture.exchanges.length, 1);
+  });
+}
+
+test('nothing is passed on behind a refusal of too many requests', async t => {
+  // Guards against requests that run although their responses cannot be sent.
+  const fixture = await startServer(t, () => undefined);
+  const socket = connect(fixture.port, '127.0.0.1');
+  const closed = once(socket.resume(), 'close');
+  socket.write(get('/1').repeat(65));
+  await waitForRequests(fixture, 64);
+  echo(fixture.exchanges[0]!);
+  await sleep(5);
+  socket.write(get('/2'));
+  await sleep(20);
+  assert.equal(fixture.exchanges.length, 64);
+  fixture.exchanges.forEach(echo);
+  await closed;
+});
+
+/** What ends a connection without an answer of its own. */
+const BAD_ENDS = {
+  'a malformed request': 'bad\r\n\r\n',
+  'a request for a tunnel': `CONNECT a:1 HTTP/1.1\r\n${HOST}\r\n`,
+};
+
+for (const [name, text] of Object.entries(BAD_ENDS)) {
+  test(`requests before ${name} are answered`, async t => {
+    // Guards against an end of the connection before its last response.
+    const fixture = await startServer(t, () => undefined);
+    const sending = sendRaw(fixture.port, get('/1') + get('/2') + text);
+    await waitForRequests(fixture, 2);
+    await sleep(20);
+    fixture.exchanges.forEach(echo);
+    assert.deepEqual(pathsOf(await sending), ['/1', '/2']);
+  });
+}
--- a/src/caller_http/connection_table.ts
+++ b/src/caller_http/connection_table.ts
@@ -4,11 +4,7 @@
  * @packageDocumentation
  */
 import type {Socket} from 'node:net';
-
-/** State of one connection. */
-interface Connection {
-  readonly requestIds: Set<string>;
-}
+import {CallerConnection} from './caller_connection.js';
 
 /**
  * Keeps the connections of callers in order of their last request. When there
@@ -16,53 +12,46 @@
  * is closed: it sends a request that does not end, or is kept idle.
  */
 export class ConnectionTable {
-  private readonly connections = new Map<Socket, Connection>();
+  private readonly connections = new Map<Socket, CallerConnection>();
 
   /** Number of open connections. */
   get size(): number {
     return this.connections.size;
   }
 
-  /** Adds a connection without requests. */
-  add(socket: Socket): void {
-    this.connections.set(socket, {requestIds: new Set()});
-  }
-
   /**
-   * Removes a connection.
+   * Adds a connection.
    *
-   * @returns the requests that were in progress on it
+   * @param socket - connection to a caller
+   * @returns its state, without requests
    */
-  delete(socket: Socket): readonly string[] {
-    const requestIds = [...(this.connections.get(socket)?.requestIds ?? [])];
-    this.connections.delete(socket);
-    return requestIds;
-  }
-
-  /** Returns whether a connection is open. */
-  has(socket: Socket): boolean {
-    return this.connections.has(socket);
+  add(socket: Socket): CallerConnection {
+    const connection = new CallerConnection(socket);
+    this.connections.set(socket, connection);
+    return connection;
   }
 
-  /** Returns the number of requests in progress on a connection. */
-  requestCount(socket: Socket): number {
-    return this.connections.get(socket)?.requestIds.size ?? 0;
+  /** Removes a connection. */
+  delete(socket: Socket): void {
+    this.connections.delete(socket);
   }
 
-  /** Records that a request is complete and in service. */
-  addRequest(socket: Socket, requestId: string): void {
-    const connection = this.connections.get(socket);
-    if (connection !== undefined) {
-      connection.requestIds.add(requestId);
-      // Moves the connection to the end of the order.
-      this.connections.delete(socket);
-      this.connections.set(socket, connection);
-    }
+  /** Returns a connection, or undefined if it is not open. */
+  get(socket: Socket): CallerConnection | undefined {
+    return this.connections.get(socket);
   }
 
-  /** Records that a request was answered. */
-  deleteRequest(socket: Socket, requestId: string): void {
-    this.connections.get(socket)?.requestIds.delete(requestId);
+  /**
+   * Records that a request is complete and in service.
+   *
+   * @param connection - an open connection
+   * @param requestId - id of the request
+   */
+  addRequest(connection: CallerConnection, requestId: string): void {
+    connection.requestIds.add(requestId);
+    // Moves the connection to the end of the order.
+    this.connections.delete(connection.socket);
+    this.connections.set(connection.socket, connection);
   }
 
   /**
--- a/src/caller_http/exchange.ts
+++ b/src/caller_http/exchange.ts
@@ -22,6 +22,8 @@
 
 /** What an {@link Exchange} tells its server. */
 export interface ExchangeListener {
+  /** Called right before the head of the response is written. */
+  beforeHead(): void;
   /** Called once, after the last byte was written. */
   onResponded(): void;
   /**
@@ -77,6 +79,7 @@
     if (length !== undefined) {
       headers.push('content-length', length);
     }
+    this.listener.beforeHead();
     try {
       this.response.writeHead(source.status, headers);
     } catch {
@@ -105,6 +108,7 @@
     }
     this.responded = true;
     const {status, verdict, reason, retryAfterSeconds} = refusal;
+    this.listener.beforeHead();
     writeRefusal(this.response, {status, verdict, reason, retryAfterSeconds});
     this.listener.onResponded();
   }
@@ -157,8 +161,6 @@
   readonly reason: string;
   readonly retryAfterSeconds?: number | undefined;
   readonly message?: string;
-  /** Whether to close the caller's connection after the response. */
-  readonly close?: boolean;
 }
 
 /**
@@ -184,9 +186,6 @@
   if (retryAfterSeconds !== undefined) {
     headers['retry-after'] = String(retryAfterSeconds);
   }
-  if (fields.close === true) {
-    headers['connection'] = 'close';
-  }
   response.writeHead(status, headers);
   response.end(body);
 }
--- a/src/daemon/effect_runner_test.ts
+++ b/src/daemon/effect_runner_test.ts
@@ -109,7 +109,11 @@
       [],
       undefined,
       response,
-      {onResponded: () => undefined, holdAnswer: () => true},
+      {
+        beforeHead: () => undefined,
+        onResponded: () => undefined,
+        holdAnswer: () => true,
+      },
       protocol,
     );
     server.open.set(requestId, exchange);
