Release what is held for pipelined requests when their caller leaves

Callers saw: after enough callers with pipelined requests had left, bodies and answers over 4 KiB were refused for want of memory, though none was held.

Cause: bodies and answers release their bytes of the budget on 'close' of the response. When a socket closes, node:http emits it only for the response in transmission, never for those behind it.

Change: the connection emits it for the responses that are due.

--- a/src/caller_http/caller_connection.ts
+++ b/src/caller_http/caller_connection.ts
@@ -81,6 +81,18 @@
     }
   }
 
+  /**
+   * Closes the responses that are due when the connection has closed. node:http
+   * does so only for the one in transmission, which has the socket.
+   */
+  onSocketClosed(): void {
+    for (const response of [...this.dueResponses]) {
+      if (response.socket === null) {
+        response.emit('close');
+      }
+    }
+  }
+
   private remove(response: ServerResponse): void {
     const position = this.dueResponses.indexOf(response);
     if (position >= 0) {
--- a/src/caller_http/caller_server.ts
+++ b/src/caller_http/caller_server.ts
@@ -305,10 +305,11 @@
 
   private onConnection(socket: Socket): void {
     this.lastConnectionMs = this.options.clock.nowMs();
-    const {requestIds} = this.connections.add(socket);
+    const connection = this.connections.add(socket);
     socket.on('close', () => {
       this.connections.delete(socket);
-      for (const requestId of requestIds) {
+      connection.onSocketClosed();
+      for (const requestId of connection.requestIds) {
         this.exchanges.delete(requestId);
         this.options.listener.onCallerGone(requestId);
       }
--- a/src/caller_http/connection_end_test.ts
+++ b/src/caller_http/connection_end_test.ts
@@ -3,7 +3,9 @@
 import {connect} from 'node:net';
 import {test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {MemoryBudget} from '../memory/index.js';
 import {
+  completeResponse,
   echo,
   HOST,
   sendRaw,
@@ -159,3 +161,21 @@
     assert.deepEqual(pathsOf(await sending), ['/1', '/2']);
   });
 }
+
+test('what is held for requests and answers is released with their connection', async t => {
+  // Guards against a budget that callers fill by leaving.
+  const budget = new MemoryBudget(1_000_000);
+  const fixture = await startServer(t, () => undefined, {}, budget);
+  const socket = connect(fixture.port, '127.0.0.1');
+  const post = `POST /1 HTTP/1.1\r\n${HOST}content-length: 9\r\n\r\n123456789`;
+  socket.write(post.repeat(3));
+  await waitForRequests(fixture, 3);
+  fixture.exchanges[1]!.forward(completeResponse('x'.repeat(8_000)));
+  assert.ok(budget.usedBytes > 8_000);
+  socket.destroy();
+  while (fixture.goneRequestIds.length < 2) {
+    await new Promise(setImmediate);
+  }
+  await new Promise(setImmediate);
+  assert.equal(budget.usedBytes, 0);
+});
