Keep connections in a stop until their answers have been sent

Callers saw: a planned stop cut off answers that they were still reading.

Cause: a request counted as finished when its answer was handed to node:http. closeIdleConnections of node:http closes such a connection, and the daemons ended while bytes were waiting for slow readers.

Change: CallerServer counts answers until they are sent. Both daemons wait for that, within the grace period (entry daemon) or 5 s (daemon for presets), and only connections without a part of a request or answer are closed as idle.

--- a/src/caller_http/caller_connection.ts
+++ b/src/caller_http/caller_connection.ts
@@ -20,6 +20,8 @@
   private readonly dueResponses: ServerResponse[] = [];
   private closingResponse: ServerResponse | undefined;
   private unreadResponse: ServerResponse | undefined;
+  /** Bytes received when a request was last read to its end; 0 before. */
+  private bytesReadAtEnd = 0;
 
   /** @param socket - connection to the caller */
   constructor(readonly socket: Socket) {}
@@ -29,6 +31,23 @@
     return this.dueResponses.length;
   }
 
+  /** Number of responses that were begun and not sent to their end. */
+  get undeliveredCount(): number {
+    return this.dueResponses.filter(({headersSent}) => headersSent).length;
+  }
+
+  /**
+   * Whether all requests were answered and no part of a further one has arrived.
+   * False before the first request, which may be in transit.
+   */
+  get isIdle(): boolean {
+    return (
+      this.dueCount === 0 &&
+      this.bytesReadAtEnd > 0 &&
+      this.socket.bytesRead === this.bytesReadAtEnd
+    );
+  }
+
   /**
    * Accepts a request whose head was read.
    *
@@ -52,6 +71,7 @@
   /** Records that the last accepted request was read to its end. */
   markRead(): void {
     this.unreadResponse = undefined;
+    this.bytesReadAtEnd = this.socket.bytesRead;
   }
 
   /** Gives up the last accepted request if it was not read to its end. */
--- a/src/caller_http/caller_server.ts
+++ b/src/caller_http/caller_server.ts
@@ -197,6 +197,15 @@
     return this.exchanges.size;
   }
 
+  /** Number of responses that were begun and not sent to their end. */
+  get undeliveredCount(): number {
+    let count = 0;
+    for (const connection of this.connections.values()) {
+      count += connection.undeliveredCount;
+    }
+    return count;
+  }
+
   /**
    * Starts listening.
    *
@@ -292,9 +301,16 @@
     NetServer.prototype.close.call(this.server);
   }
 
-  /** Closes connections without a request in progress. */
+  /**
+   * Closes connections that carry no part of a request or response. node:http
+   * would also close those whose response has been handed over but not sent.
+   */
   closeIdle(): void {
-    this.server.closeIdleConnections();
+    for (const {isIdle, socket} of [...this.connections.values()]) {
+      if (isIdle) {
+        socket.destroy();
+      }
+    }
   }
 
   /** Closes all connections at once. */
--- a/src/caller_http/connection_end_test.ts
+++ b/src/caller_http/connection_end_test.ts
@@ -179,3 +179,47 @@
   await new Promise(setImmediate);
   assert.equal(budget.usedBytes, 0);
 });
+
+test('an answer that is still being read keeps its connection in a stop', async t => {
+  // Guards against answers that are cut off because they were handed over.
+  const budget = new MemoryBudget(100_000_000);
+  const fixture = await startServer(t, () => undefined, {}, budget);
+  const {server, exchanges, port} = fixture;
+  const body = 'x'.repeat(16_000_000);
+  const socket = connect(port, '127.0.0.1').pause();
+  socket.write(get('/1'));
+  await waitForRequests(fixture, 1);
+  exchanges[0]!.forward(completeResponse(body));
+  await sleep(50);
+  server.stopListening();
+  server.closeIdle();
+  assert.equal(server.openCount, 0);
+  assert.equal(server.undeliveredCount, 1);
+  let receivedBytes = 0;
+  socket.on('data', ({length}) => (receivedBytes += length)).resume();
+  while (receivedBytes < body.length && !socket.destroyed) {
+    await sleep(5);
+  }
+  assert.ok(receivedBytes > body.length, `${receivedBytes} bytes`);
+  assert.equal(server.undeliveredCount, 0);
+});
+
+test('a stop closes idle connections and keeps those that carry a part of a request', async t => {
+  // Guards against requests that are cut off while they are sent.
+  const fixture = await startServer(t, echo);
+  const [idle, partial, fresh] = [1, 2, 3].map(() =>
+    connect(fixture.port, '127.0.0.1').resume(),
+  );
+  await once(fresh!, 'connect');
+  idle!.write(get('/1'));
+  partial!.write(get('/2'));
+  await waitForRequests(fixture, 2);
+  partial!.write('GET /3 HTTP/1.1\r\n');
+  await sleep(20);
+  fixture.server.stopListening();
+  fixture.server.closeIdle();
+  await once(idle!, 'close');
+  partial!.write(`${HOST}\r\n`);
+  fresh!.write(get('/4'));
+  await waitForRequests(fixture, 4);
+});
--- a/src/caller_http/connection_table.ts
+++ b/src/caller_http/connection_table.ts
@@ -31,6 +31,11 @@
     return connection;
   }
 
+  /** Returns the open connections. */
+  values(): Iterable<CallerConnection> {
+    return this.connections.values();
+  }
+
   /** Removes a connection. */
   delete(socket: Socket): void {
     this.connections.delete(socket);
--- a/src/daemon/planned_shutdown.ts
+++ b/src/daemon/planned_shutdown.ts
@@ -27,6 +27,9 @@
  */
 const LINGER_MS = 250;
 
+/** Longest wait for callers to read their responses, in milliseconds. */
+const MAX_DELIVERY_WAIT_MS = 5_000;
+
 /** Interval of checks for the conditions of a shutdown, in milliseconds. */
 const POLL_INTERVAL_MS = 20;
 
@@ -64,13 +67,15 @@
    * Finishes open requests, hands claim records over, and finishes the requests
    * that arrived meanwhile on connections that were already open.
    *
-   * @returns a promise that resolves when no request and no settlement is open
+   * @returns a promise that resolves when no request and no settlement is open, and
+   *     the responses were read or have waited for their callers for too long
    */
   async run(): Promise<void> {
     await this.closeCallerPort();
     await this.finishOpenRequests();
     await this.handOverRecords();
     await this.finishOpenRequests();
+    await this.deliverResponses();
   }
 
   /** Signals the shutdown to callers, waits, and closes the caller port. */
@@ -97,6 +102,17 @@
     );
   }
 
+  /** Waits until callers have read their responses. */
+  private async deliverResponses(): Promise<void> {
+    const {callers, relayServer, clock} = this.parts;
+    const latestMs = clock.nowMs() + MAX_DELIVERY_WAIT_MS;
+    await waitUntil(
+      () =>
+        callers.undeliveredCount + relayServer.undeliveredCount === 0 ||
+        clock.nowMs() > latestMs,
+    );
+  }
+
   /**
    * Hands claim records over. If that succeeds, announces the departure and
    * gives gossip time to spread it.
--- a/src/daemon/planned_shutdown_test.ts
+++ b/src/daemon/planned_shutdown_test.ts
@@ -17,12 +17,14 @@
     clock: {nowMs: () => 1_000},
     callers: {
       openCount: 0,
+      undeliveredCount: 0,
       connectedMs: -Infinity,
       beginDrain: () => undefined,
       stopListening: () => undefined,
     },
     relayServer: {
       openCount: 0,
+      undeliveredCount: 0,
       beginDrain: () => undefined,
       stopListening: () => undefined,
     },
@@ -46,6 +48,7 @@
   // Their callers must not be cut off while the work runs.
   const callers = {
     openCount: 0,
+    undeliveredCount: 0,
     connectedMs: -Infinity,
     beginDrain: () => undefined,
     stopListening: () => undefined,
@@ -79,3 +82,30 @@
   await new PlannedShutdown(createParts({engine, membership})).run();
   assert.deepEqual(steps, ['answered', 'farewell']);
 });
+
+test('a stop waits for responses that are being read, but not for ever', async () => {
+  // Guards against cut responses, and against callers that hold up a stop.
+  let nowMs = 1_000;
+  const steps: string[] = [];
+  const callers = {
+    openCount: 0,
+    undeliveredCount: 1,
+    connectedMs: -Infinity,
+    beginDrain: () => undefined,
+    stopListening: () => undefined,
+  };
+  const clock = {nowMs: (): number => nowMs};
+  const first = new PlannedShutdown(createParts({callers, clock})).run();
+  setTimeout(() => {
+    steps.push('read');
+    callers.undeliveredCount = 0;
+  }, 1_800);
+  await first;
+  assert.deepEqual(steps, ['read']);
+  callers.undeliveredCount = 1;
+  const second = new PlannedShutdown(createParts({callers, clock})).run();
+  const timer = setInterval(() => (nowMs += 1_000), 20);
+  await second;
+  clearInterval(timer);
+  assert.equal(callers.undeliveredCount, 1);
+});
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -200,7 +200,7 @@
 
   /**
    * Starts a graceful shutdown: reports not ready, serves requests until the
-   * port is closed, and exits when all requests are answered or shortly before
+   * port is closed, and exits when all answers have been sent or shortly before
    * the grace period ends.
    */
   stop(): void {
@@ -232,8 +232,10 @@
     });
     this.parts.log.info('process', 'stopped listening');
     const check = (): void => {
-      const openCount = servers.reduce((sum, each) => sum + each.openCount, 0);
-      if (this.parts.engine.openCount + openCount === 0) {
+      const isDone = servers.every(
+        ({openCount, undeliveredCount}) => openCount + undeliveredCount === 0,
+      );
+      if (isDone && this.parts.engine.openCount === 0) {
         this.end();
       }
     };
