--- a/src/target_http/target_response.ts
+++ b/src/target_http/target_response.ts
@@ -145,7 +145,8 @@
     this.state = 'broken';
     this.sink?.abort();
   }
-  /** Passes small chunks on once the connection has handed out what it read. */
+
+  /** Passes small chunks on, joined, when the parser has handed all of them out. */
   private scheduleFlush(sink: BodySink): void {
     if (this.isFlushScheduled) {
       return;
