Copy bodies of the store and of peers into blocks while they arrive

Callers saw (reported by other operators of such systems): a faulty server sends bytes without an end, and the process that had called it ends with the requests of all its callers.

Cause: httpGet kept each chunk until 16 MiB had arrived.

Change: chunks are copied into a ChunkBuffer, as bodies of callers and targets are.

--- a/src/http_get/http_get.ts
+++ b/src/http_get/http_get.ts
@@ -5,6 +5,7 @@
  */
 import {request, type Agent, type IncomingHttpHeaders} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
+import {ChunkBuffer} from '../memory/index.js';
 
 /**
  * Largest body that is accepted. Pages of the store and snapshots of peers have
@@ -87,14 +88,12 @@
     };
     clientRequest.on('error', fail);
     clientRequest.on('response', response => {
-      const chunks: Buffer[] = [];
-      let sizeBytes = 0;
+      const body = new ChunkBuffer();
       response.on('error', fail);
       response.on('data', (chunk: Buffer) => {
-        sizeBytes += chunk.length;
         progressTimer.refresh();
-        if (sizeBytes <= MAX_BODY_BYTES) {
-          chunks.push(chunk);
+        if (body.sizeBytes + chunk.length <= MAX_BODY_BYTES) {
+          body.append(chunk);
           return;
         }
         clearTimers();
@@ -105,7 +104,7 @@
       response.on('end', () => {
         clearTimers();
         const {statusCode: status = 0, headers} = response;
-        resolve(ok({status, headers, body: Buffer.concat(chunks)}));
+        resolve(ok({status, headers, body: body.toBuffer()}));
       });
     });
     clientRequest.end();
