--- a/src/caller_http/caller_server.ts
+++ b/src/caller_http/caller_server.ts
@@ -15,6 +15,7 @@
 import {MemoryBudget, memoryCapacityBytes} from '../memory/index.js';
 import type {TargetResponse} from '../target_http/index.js';
 import type {CallerConnection} from './caller_connection.js';
+import {DEFAULT_MEMORY_MB, type CallerLimits} from './caller_limits.js';
 import type {
   CallerProtocol,
   IdentifiedRequest,
@@ -22,6 +23,11 @@
 } from './caller_protocol.js';
 import {ConnectionTable} from './connection_table.js';
 import {Exchange, writeRefusal, type RefusalFields} from './exchange.js';
+import {
+  formatParseRefusal,
+  formatRefusal,
+  notRunRefusal,
+} from './early_refusal.js';
 import {endToEndHeaders} from './hop_headers.js';
 import {CostlyBodies, RequestBody, type BodyRefusal} from './request_body.js';
 import {
@@ -30,59 +36,6 @@
   type UnreadAnswerOptions,
 } from './unread_answer.js';
 
-/** Limits on the connections and requests of callers. */
-export interface CallerLimits {
-  readonly maxHeadBytes: number;
-  readonly maxBodyBytes: number;
-  readonly headTimeoutMs: number;
-  /** Time from the first byte of a request to the last. */
-  readonly requestTimeoutMs: number;
-  readonly idleTimeoutMs: number;
-  /**
-   * Connections that are kept. Beyond them, those that have been without a
-   * request in service for longest are closed.
-   */
-  readonly maxConnections: number;
-}
-
-/** Descriptors that a process needs for files, ports and its own peers. */
-const FILE_DESCRIPTORS = 200;
-
-/**
- * Share of the other descriptors that is left to targets. A request holds its
- * caller's connection for as long as its target's, and callers keep idle ones.
- */
-const OWN_CONNECTIONS_SHARE = 1 / 3;
-
-/**
- * Computes how many connections of callers a process keeps.
- *
- * @param maxDescriptors - descriptors that the process may open
- * @returns number of connections
- */
-export function maxCallerConnections(maxDescriptors: number): number {
-  const count =
-    (maxDescriptors - FILE_DESCRIPTORS) * (1 - OWN_CONNECTIONS_SHARE);
-  return Math.max(1, Math.floor(count));
-}
-
-/**
- * Memory and descriptors of machines whose settings do not tell them: those of
- * the smallest ones that run the daemon.
- */
-export const DEFAULT_MEMORY_MB = 285;
-export const DEFAULT_MAX_DESCRIPTORS = 3_075;
-
-/** Limits of daemons whose settings do not define any. */
-export const DEFAULT_CALLER_LIMITS: CallerLimits = {
-  maxHeadBytes: 16 * 1024,
-  maxBodyBytes: 1024 * 1024,
-  headTimeoutMs: 10_000,
-  requestTimeoutMs: 30_000,
-  idleTimeoutMs: 60_000,
-  maxConnections: maxCallerConnections(DEFAULT_MAX_DESCRIPTORS),
-};
-
 /** Interval at which node:http checks for requests that have timed out. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
@@ -563,41 +516,3 @@
   const length = Number(headers['content-length'] ?? 0);
   return length > 0 || headers['transfer-encoding'] !== undefined;
 }
-
-function notRunRefusal(status: number, reason: string): RefusalFields {
-  return {status, verdict: 'not-run', reason};
-}
-
-/** Formats the response to a request that was malformed or timed out. */
-function formatParseRefusal(code: string | undefined): string {
-  switch (code) {
-    case 'HPE_HEADER_OVERFLOW':
-      return formatRefusal(
-        431,
-        'Request Header Fields Too Large',
-        'head-too-large',
-      );
-    case 'ERR_HTTP_REQUEST_TIMEOUT':
-      return formatRefusal(408, 'Request Timeout', 'request-timeout');
-    default:
-      return formatRefusal(400, 'Bad Request', 'bad-request');
-  }
-}
-
-function formatRefusal(
-  status: number,
-  statusText: string,
-  reason: string,
-): string {
-  const body = `${JSON.stringify({verdict: 'not-run', reason})}\n`;
-  return [
-    `HTTP/1.1 ${status} ${statusText}`,
-    'content-type: application/json',
-    `content-length: ${Buffer.byteLength(body)}`,
-    'x-verdict: not-run',
-    `x-refusal-reason: ${reason}`,
-    'connection: close',
-    '',
-    body,
-  ].join('\r\n');
-}
--- a/src/caller_http/connection_end_test.ts
+++ b/src/caller_http/connection_end_test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import {connect} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import {test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {MemoryBudget} from '../memory/index.js';
@@ -33,6 +33,21 @@
   return received.match(/^\/\d+/gm) ?? [];
 }
 
+/** Sends two requests, of which neither is answered yet. */
+async function sendTwo(fixture: CallerServerFixture): Promise<{
+  readonly socket: Socket;
+  /** What is received until the connection closes. */
+  readonly received: Promise<string>;
+}> {
+  const socket = connect(fixture.port, '127.0.0.1');
+  let text = '';
+  socket.on('data', data => (text += data.toString()));
+  const received = once(socket, 'close').then(() => text);
+  socket.write(get('/1') + get('/2'));
+  await waitForRequests(fixture, 2);
+  return {socket, received};
+}
+
 test('a stop answers the requests behind the first one', async t => {
   // Guards against the close of a connection with the first of its responses.
   const fixture = await startServer(t, () => undefined);
@@ -68,13 +83,8 @@
 test('a connection that always has a request behind ends after the port is closed', async t => {
   // Guards against a stop that cuts such a connection at its end.
   const fixture = await startServer(t, () => undefined);
-  const {server, exchanges, port} = fixture;
-  const socket = connect(port, '127.0.0.1');
-  let received = '';
-  socket.on('data', data => (received += data.toString()));
-  const closed = once(socket, 'close');
-  socket.write(get('/1') + get('/2'));
-  await waitForRequests(fixture, 2);
+  const {server, exchanges} = fixture;
+  const {socket, received} = await sendTwo(fixture);
   server.beginDrain();
   echo(exchanges[0]!);
   socket.write(get('/3'));
@@ -84,29 +94,22 @@
   socket.write(get('/4'));
   await sleep(20);
   echo(exchanges[2]!);
-  await closed;
+  assert.deepEqual(pathsOf(await received), ['/1', '/2', '/3']);
   assert.equal(exchanges.length, 3);
-  assert.deepEqual(pathsOf(received), ['/1', '/2', '/3']);
 });
 
 test('a request behind a closing response is not passed on', async t => {
   // Guards against requests that run although their responses cannot be sent.
   const fixture = await startServer(t, () => undefined);
-  const {server, exchanges, port} = fixture;
-  const socket = connect(port, '127.0.0.1');
-  let received = '';
-  socket.on('data', data => (received += data.toString()));
-  const closed = once(socket, 'close');
-  socket.write(get('/1') + get('/2'));
-  await waitForRequests(fixture, 2);
+  const {server, exchanges} = fixture;
+  const {socket, received} = await sendTwo(fixture);
   server.beginDrain();
   echo(exchanges[1]!);
   socket.write(get('/3'));
   await sleep(20);
   echo(exchanges[0]!);
-  await closed;
+  assert.deepEqual(pathsOf(await received), ['/1', '/2']);
   assert.equal(exchanges.length, 2);
-  assert.deepEqual(pathsOf(received), ['/1', '/2']);
 });
 
 /** Requests that are refused with the close of their connection. */
--- a/src/caller_http/index.ts
+++ b/src/caller_http/index.ts
@@ -4,12 +4,14 @@
  * @packageDocumentation
  */
 export {
-  CallerServer,
   DEFAULT_CALLER_LIMITS,
   DEFAULT_MAX_DESCRIPTORS,
   DEFAULT_MEMORY_MB,
   maxCallerConnections,
   type CallerLimits,
+} from './caller_limits.js';
+export {
+  CallerServer,
   type CallerListener,
   type CallerServerOptions,
   type ProtectionReason,
