Stop counting a streamed answer once it was given up

Its connection closes a moment later, and parts that were written until then counted again: the answer was given up again and again, and the counter of protections rose each time. Shown by a new test of connection_end_test.ts, which failed before (more than one 'answer-unread').

--- a/src/caller_http/caller_server_fixture.ts
+++ b/src/caller_http/caller_server_fixture.ts
@@ -14,6 +14,7 @@
   DEFAULT_CALLER_LIMITS,
   NativeCallerProtocol,
   type Exchange,
+  type ProtectionReason,
 } from './index.js';
 
 /** Header field that each request needs. */
@@ -25,6 +26,7 @@
   readonly port: number;
   readonly exchanges: Exchange[];
   readonly goneRequestIds: string[];
+  readonly protections: ProtectionReason[];
 }
 
 /**
@@ -43,11 +45,13 @@
 ): Promise<CallerServerFixture> {
   const exchanges: Exchange[] = [];
   const goneRequestIds: string[] = [];
+  const protections: ProtectionReason[] = [];
   const server = new CallerServer({
     clock: new SystemClock(),
     limits: {...DEFAULT_CALLER_LIMITS, maxBodyBytes: 100, ...limits},
     protocol: new NativeCallerProtocol(),
     budget,
+    onProtected: reason => protections.push(reason),
     listener: {
       onRequest: exchange => {
         exchanges.push(exchange);
@@ -58,7 +62,7 @@
   });
   const port = await server.listen({host: '127.0.0.1', port: 0});
   t.after(() => server.destroy());
-  return {server, port, exchanges, goneRequestIds};
+  return {server, port, exchanges, goneRequestIds, protections};
 }
 
 /** Returns a complete response. */
--- a/src/caller_http/connection_end_test.ts
+++ b/src/caller_http/connection_end_test.ts
@@ -259,3 +259,37 @@
   assert.equal(abortedCount, 20);
   assert.equal(budget.usedBytes, 0);
 });
+
+test('a streamed answer is given up once, and not counted any more', async t => {
+  // Guards against parts that are still written and counted after the close.
+  const budget = new MemoryBudget(1_000_000);
+  const fixture = await startServer(t, () => undefined, {}, budget);
+  for (const path of ['/1', '/2']) {
+    const socket = connect(fixture.port, '127.0.0.1').pause();
+    socket.on('error', () => undefined);
+    t.after(() => socket.destroy());
+    socket.write(get(path));
+  }
+  await waitForRequests(fixture, 2);
+  const forward = (index: number, sizeBytes: number): void => {
+    const noSource = {
+      pause: () => undefined,
+      resume: () => undefined,
+      abort: () => undefined,
+    };
+    const response = new TargetResponse('t', 200, {}, noSource);
+    response.push(Buffer.alloc(sizeBytes), sizeBytes);
+    fixture.exchanges[index]!.forward(response);
+  };
+  forward(0, 100_000);
+  const heldBytes = budget.usedBytes;
+  forward(1, 9_000_000);
+  assert.equal(budget.usedBytes, heldBytes);
+  assert.deepEqual(fixture.protections, ['answer-unread']);
+  while (fixture.goneRequestIds.length < 1) {
+    await new Promise(setImmediate);
+  }
+  assert.deepEqual(fixture.goneRequestIds, [
+    fixture.exchanges[1]!.request.requestId,
+  ]);
+});
--- a/src/caller_http/unread_answer.ts
+++ b/src/caller_http/unread_answer.ts
@@ -23,6 +23,8 @@
 
 /** Bytes of an answer until the caller's connection has taken them. */
 class UnreadAnswer extends MemoryHolder {
+  private hasGivenUp = false;
+
   /**
    * @param response - answer, of which nothing was written yet
    * @param options - budget, clock, and what to call if it is given up
@@ -36,7 +38,13 @@
     response.once('close', () => options.budget.release(this));
   }
 
+  /** Whether the connection was closed because there was no room. */
+  protected get isGivenUp(): boolean {
+    return this.hasGivenUp;
+  }
+
   override onEvicted(): void {
+    this.hasGivenUp = true;
     this.options.onEvicted();
     // An answer behind others has no socket of its own yet.
     this.response.req.socket.destroy();
@@ -102,7 +110,7 @@
    * @returns false if the connection is full, until `drain`
    */
   write(chunk: Buffer): boolean {
-    if (this.response.destroyed) {
+    if (this.isGivenUp || this.response.destroyed) {
       return false;
     }
     const isTaken = this.response.write(chunk);
@@ -111,7 +119,7 @@
   }
 
   private setUnread(sizeBytes: number): void {
-    if (sizeBytes !== this.unreadBytes) {
+    if (sizeBytes !== this.unreadBytes && !this.isGivenUp) {
       this.unreadBytes = sizeBytes;
       this.count(sizeBytes);
     }
