--- /dev/null
+++ b/review/11/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Downloads whose server falls silent in the middle of the body must end by the
+# timeout of their route. Exit status: 1 broken, 0 held, 2 could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec node review/11/case.mjs
