review 12: an answer that is broken off costs those behind it

Cause: a streamed answer that its server breaks off ends the caller's connection; requests behind it have been passed on to other servers, which ran them, and get no answer. Found from the postmortem on pipelined requests.

--- a/review/lib-3/server.mjs
+++ b/review/lib-3/server.mjs
@@ -4,7 +4,8 @@
  * answer), `size` (bytes of the answer) and `pace` (milliseconds over which the
  * answer is written).
  *
- * Usage: server.mjs HOST ID [SLOTS] [PORT]
+ * Usage: server.mjs HOST ID [SLOTS] [PORT] [BROKEN_OFF]; if given, each
+ * BROKEN_OFF-th answer is broken off halfway
  */
 import {Buffer} from 'node:buffer';
 import process from 'node:process';
@@ -12,8 +13,11 @@
 import {URL} from 'node:url';
 import http from 'node:http';
 
-const [host, id, slotText = '3', portText = '0'] = process.argv.slice(2);
+const [host, id, slotText = '3', portText = '0', brokenOffText = '0'] =
+  process.argv.slice(2);
 const slots = Number(slotText);
+const brokenOff = Number(brokenOffText);
+let answerCount = 0;
 const MAX_QUEUE = 6;
 const PIECES = 32;
 const running = new Set();
@@ -23,6 +27,10 @@
   process.stdout.write(`${JSON.stringify({at: Date.now(), ...event})}\n`);
 }
 
+function attemptIdOf(request) {
+  return request.headers['x-attempt-id'];
+}
+
 function headers(request, extra = {}) {
   const attemptId = request.headers['x-attempt-id'];
   return {
@@ -52,12 +60,12 @@
 function run(job) {
   const {request, response, url} = job;
   running.add(job);
-  record({type: 'run', server: id, request: request.headers['x-attempt-id']});
+  record({type: 'run', server: id, request: attemptIdOf(request)});
   response.on('close', () => {
     clearTimeout(job.timer);
     running.delete(job);
     const type = response.writableFinished ? 'done' : 'stopped';
-    record({type, server: id, request: request.headers['x-attempt-id']});
+    record({type, server: id, request: attemptIdOf(request)});
     startNext();
   });
   const workMs = Number(url.searchParams.get('work') ?? 30);
@@ -74,6 +82,14 @@
     request: request.headers['x-attempt-id'],
   });
   response.writeHead(200, headers(request, {'content-length': size}));
+  answerCount += 1;
+  const isBrokenOff = brokenOff > 0 && answerCount % brokenOff === 0;
+  if (isBrokenOff && paceMs === 0) {
+    response.write(Buffer.alloc(Math.floor(size / 2), 'x'), () =>
+      response.destroy(),
+    );
+    return;
+  }
   if (paceMs === 0) {
     response.end(Buffer.alloc(size, 'x'));
     return;
@@ -81,6 +97,11 @@
   const piece = Buffer.alloc(Math.ceil(size / PIECES), 'x');
   let left = size;
   const write = () => {
+    if (isBrokenOff && left <= size / 3) {
+      record({type: 'broken-off', server: id, request: attemptIdOf(request)});
+      response.destroy();
+      return;
+    }
     const part = piece.subarray(0, Math.min(left, piece.length));
     left -= part.length;
     if (left === 0) {
--- a/review/lib-3/standins.mjs
+++ b/review/lib-3/standins.mjs
@@ -424,23 +424,23 @@
   /**
    * @param processes - processes of the case
    * @param store - store that lists the server
-   * @param options - `host`, `service`, `slots`, `name`
+   * @param options - `host`, `service`, `slots`, `name`, `brokenOff`
    */
   constructor(processes, store, options) {
     this.processes = processes;
     this.store = store;
-    this.options = {slots: 3, ...options};
+    this.options = {slots: 3, brokenOff: 0, ...options};
     this.port = 0;
     this.bootCount = 0;
   }
 
   /** Starts a boot with an id of its own, at the address of the one before. */
   async start() {
-    const {host, service, slots, name} = this.options;
+    const {host, service, slots, name, brokenOff} = this.options;
     this.bootCount += 1;
     this.id = `i-${name}-${this.bootCount}`;
     const script = join(ROOT, 'review/lib-3/server.mjs');
-    const args = [host, this.id, String(slots), String(this.port)];
+    const args = [host, this.id, slots, this.port, brokenOff].map(String);
     this.child = this.processes.startScript(script, args);
     let text = '';
     await new Promise(done =>
